--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,220 @@
+"""Configuration on the log: one winner, lost answers, retention, never backwards."""
+
+import asyncio
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum import records
+from beryldrum.errors import AppendUnknownError, LogDownError
+from beryldrum.fold import Fleet, Verdict, start_from
+from beryldrum.log import Batch, append_settled
+from beryldrum.news import News
+
+from .fakes import DOCUMENT, ManualClock, MemoryLog, claim, publish
+
+
+def folded(log):
+    fleet = Fleet()
+    verdicts = [fleet.apply(entry) for entry in log.entries]
+    return fleet, verdicts
+
+
+class FoldTest(TestCase):
+    """What each record does."""
+
+    def test_race_has_one_winner(self):
+        log = MemoryLog()
+        for author in ("ann", "bob", "eve"):
+            log.add(publish(0, author=author))
+        fleet, verdicts = folded(log)
+        self.assertEqual([Verdict.ACCEPTED, Verdict.CONFLICT, Verdict.CONFLICT], verdicts)
+        self.assertEqual("ann", fleet.versions["payments"][-1].author)
+
+    @parameterized.expand(
+        [
+            ("repeat", publish(0, publish_id="one"), Verdict.REPEATED),
+            ("stale", publish(0), Verdict.CONFLICT),
+            ("future", publish(9), Verdict.CONFLICT),
+            ("invalid", publish(1, document="service: payments"), Verdict.INVALID),
+            ("seats", publish(1, DOCUMENT.replace("seats: 4", "seats: 5")), Verdict.INVALID),
+            ("other", publish(1, DOCUMENT.replace("payments", "catalogue")), Verdict.INVALID),
+            ("next", publish(1), Verdict.ACCEPTED),
+        ]
+    )
+    def test_second(self, _, second, expected):
+        log = MemoryLog()
+        log.add(publish(0, publish_id="one"))
+        log.add(second)
+        fleet, verdicts = folded(log)
+        self.assertEqual(expected, verdicts[1])
+        accepted = expected is Verdict.ACCEPTED
+        self.assertEqual(2 if accepted else 1, fleet.version("payments"))
+
+    @parameterized.expand([(b"",), (b"[]",), (b'{"kind": "publish"}',), (b'{"kind": "new"}',)])
+    def test_garbage_changes_nothing(self, data):
+        log = MemoryLog()
+        log.add(publish())
+        before, _ = folded(log)
+        log.put(data)
+        after, verdicts = folded(log)
+        self.assertEqual(Verdict.INVALID, verdicts[-1])
+        self.assertEqual(before.versions, after.versions)
+
+    def test_withdrawn_key_never_returns(self):
+        log = MemoryLog()
+        give = records.KeyGive("g", "k1", "digest", "remenar-01")
+        for record in (give, records.KeyWithdraw("w", "k1"), give):
+            log.add(record)
+        fleet, _ = folded(log)
+        self.assertEqual({}, fleet.keys)
+
+    def test_eviction_takes_the_holders_hold(self):
+        log = MemoryLog()
+        log.add(publish())
+        log.add(claim(node="a", hold_ms=10_000))
+        log.add(records.Evict("e", "a", False))
+        log.time_ms += 9_999
+        log.add(claim(node="b"))
+        log.time_ms += 1
+        log.add(claim(node="c"))
+        _, verdicts = folded(log)
+        self.assertEqual([Verdict.CONFLICT, Verdict.ACCEPTED], verdicts[-2:])
+
+    def test_holder_stays_when_it_claims_again(self):
+        log = MemoryLog()
+        log.add(publish())
+        log.add(claim(node="a", hold_ms=10))
+        log.add(records.Evict("e", "a", False))
+        log.add(claim(node="a", hold_ms=10))
+        log.time_ms += 1_000
+        log.add(claim(node="b"))
+        fleet, verdicts = folded(log)
+        self.assertEqual(Verdict.CONFLICT, verdicts[-1])
+        self.assertTrue(fleet.seats["payments"][0].fresh)
+
+    def test_seat_held_before_is_not_fresh(self):
+        log = MemoryLog()
+        log.add(publish())
+        log.add(claim(node="a"))
+        log.add(records.SeatRelease("r", "payments", 0, "a", "1"))
+        log.add(claim(node="b"))
+        fleet, _ = folded(log)
+        self.assertFalse(fleet.seats["payments"][0].fresh)
+
+
+class SnapshotTest(TestCase):
+    """Starting from what the log still keeps."""
+
+    def make(self):
+        log = MemoryLog()
+        log.add(publish())
+        fleet, _ = folded(log)
+        image = fleet.image()
+        log.add(publish(1, author="bob"))
+        log.add(records.Snapshot("s", 1, image))
+        log.add(publish(1, author="late"))
+        return log
+
+    @parameterized.expand([(1,), (2,)])
+    def test_same_state_from_any_start(self, first):
+        log = self.make()
+        whole, _ = folded(log)
+        found = start_from(log.entries[first - 1 :], first)
+        self.assertEqual(whole.digest(), found.digest())
+
+    def test_no_snapshot_that_reaches_back(self):
+        log = self.make()
+        self.assertIsNone(start_from(log.entries[2:], 3))
+
+    def test_restore_equals(self):
+        whole, _ = folded(self.make())
+        self.assertEqual(whole.digest(), Fleet.restore(whole.image()).digest())
+
+
+class NewsTest(TestCase):
+    """A node's knowledge never goes back, and its age is not flattered."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.news = News(self.clock)
+        self.log = MemoryLog()
+        self.log.add(publish())
+
+    def read(self, asked_at=100.0):
+        self.news.read(Batch(self.log.entries, 1, len(self.log.entries)), asked_at)
+
+    def test_older_image_is_refused(self):
+        old = Fleet().image()
+        self.read()
+        self.assertFalse(self.news.adopt(old))
+        self.assertEqual(1, self.news.fleet.offset)
+
+    def test_truncated_log_behind_memory_is_refused(self):
+        self.read()
+        batch = Batch([], 1, 0)
+        self.assertFalse(self.news.restart(batch, 100.0))
+        self.assertEqual(1, self.news.fleet.offset)
+
+    def test_age_counts_from_the_asking(self):
+        self.read(asked_at=98.0)
+        self.assertEqual(2.0, self.news.age_s())
+
+    def test_peer_ahead_confirms_nothing(self):
+        self.read(asked_at=50.0)
+        self.news.confirmed_by_peer(5, 0.0, 100.0)
+        self.assertEqual(50.0, self.news.age_s())
+
+    def test_records_for_a_peer(self):
+        self.read()
+        self.assertEqual([1], [entry.offset for entry in self.news.since(0)])
+        other = News(self.clock)
+        other.adopt(self.news.fleet.image())
+        self.assertIsNone(other.since(0))
+
+
+class SettleTest(TestCase):
+    """A lost answer is settled, never guessed."""
+
+    @parameterized.expand(
+        [
+            ("plain", [], 1, 1),
+            ("took effect", ["lost"], 1, 1),
+            ("took no effect", ["dropped"], 1, 1),
+            ("refused first", ["refused"], 1, 1),
+            ("twice lost", ["lost", "lost"], 1, 1),
+            ("doubled", ["doubled"], 1, 2),
+            ("dropped, then lost", ["dropped", "lost"], 1, 1),
+        ]
+    )
+    def test_append(self, _, faults, expected, records_kept):
+        log = MemoryLog()
+        log.faults = faults
+        offset = asyncio.run(self.settle(log))
+        self.assertEqual(expected, offset)
+        self.assertEqual(records_kept, len(log.entries))
+        fleet, _ = folded(log)
+        self.assertEqual(1, len(fleet.versions["payments"]))
+
+    @parameterized.expand(
+        [
+            ("nothing sent", ["refused"] * 99, LogDownError),
+            ("perhaps", ["dropped"] * 99, AppendUnknownError),
+        ]
+    )
+    def test_never_settled(self, _, faults, expected):
+        log = MemoryLog()
+        log.faults = faults
+        self.assertRaises(expected, asyncio.run, self.settle(log))
+
+    @staticmethod
+    async def settle(log):
+        async def no_pause(_):
+            return None
+
+        kept, asyncio.sleep = asyncio.sleep, no_pause
+        try:
+            return await append_settled(log, publish(), 0)
+        finally:
+            asyncio.sleep = kept
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,121 @@
+"""A non-idempotent request runs at most once."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum import request as reasons
+from beryldrum.ledger import Answer, Join, Ledger, Run, born_ms, seat_of
+from beryldrum.request import Outcome, Reply, not_run, unknown
+
+from .fakes import ManualClock, request, uuid7
+
+WHOLE = Reply(Outcome.ANSWERED, 200, (("X", "1"),), b"whole")
+LIFE_MS = 60_000
+ERROR_MS = 500
+
+
+class LedgerTest(TestCase):
+    """One home, and a key that its caller repeats."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.held = 0
+        self.ledger = self.make()
+        self.key = uuid7(self.clock.wall_ms())
+        self.req = request(idempotency_key=self.key)
+
+    def make(self, entries=100, size=1_000_000):
+        return Ledger(self.clock, LIFE_MS, ERROR_MS, lambda _: self.held, entries, size)
+
+    def test_first_runs_and_a_repeat_joins(self):
+        self.assertEqual(Run(), self.ledger.open(self.req, "one").unwrap())
+        self.assertEqual(Join("one"), self.ledger.open(self.req, "two").unwrap())
+
+    @parameterized.expand([("answered", WHOLE), ("unknown", unknown(reasons.LOST))])
+    def test_a_repeat_finds_the_outcome(self, _, reply):
+        self.ledger.open(self.req, "one")
+        self.ledger.close(self.key, reply)
+        self.assertEqual(Answer(reply), self.ledger.open(self.req, "two").unwrap())
+
+    def test_not_run_frees_the_key(self):
+        self.ledger.open(self.req, "one")
+        self.ledger.close(self.key, not_run(reasons.SHED))
+        self.assertEqual(Run(), self.ledger.open(self.req, "two").unwrap())
+
+    @parameterized.expand([("body", {"body": b"6"}), ("organisation", {"organisation": "other"})])
+    def test_another_request_under_the_key(self, _, change):
+        self.ledger.open(self.req, "one")
+        other = self.req._replace(**change)
+        self.assertIs(reasons.KEY_REUSED, self.ledger.open(other, "two").unwrap_err())
+
+    @parameterized.expand(
+        [
+            ("before it held the seat", -10_000, 0),
+            ("within the clocks' error", 1_400, 0),
+            ("older than a key's life", 0, LIFE_MS),
+        ]
+    )
+    def test_cannot_know(self, _, born_after_ms, waited_ms):
+        self.held = self.clock.wall_ms()
+        key = uuid7(self.held + born_after_ms)
+        self.clock.advance((max(born_after_ms, 0) + waited_ms) / 1000)
+        found = self.ledger.open(request(idempotency_key=key), "one").unwrap()
+        self.assertEqual(Answer(unknown(reasons.CANNOT_KNOW)), found)
+
+    def test_born_after_the_take_over_runs(self):
+        self.held = self.clock.wall_ms()
+        self.clock.advance(10.0)
+        key = uuid7(self.held + 1_501)
+        self.assertEqual(Run(), self.ledger.open(request(idempotency_key=key), "one").unwrap())
+
+    def test_from_the_future_is_refused(self):
+        key = uuid7(self.clock.wall_ms() + 501)
+        refused = self.ledger.open(request(idempotency_key=key), "one")
+        self.assertIs(reasons.KEY_EXPIRED, refused.unwrap_err())
+
+    def test_fence_lapsed(self):
+        self.held = None
+        self.assertIs(reasons.NOT_HOME, self.ledger.open(self.req, "one").unwrap_err())
+
+    def test_full_refuses_new_and_keeps_live(self):
+        ledger = self.make(entries=4)
+        ledger.open(self.req, "one")
+        ledger.close(self.key, WHOLE)
+        for tail in (2, 3):
+            last = ledger.open(request(idempotency_key=uuid7(self.clock.wall_ms(), tail)), "x")
+        self.assertIs(reasons.LEDGER_FULL, last.unwrap_err())
+        self.assertEqual(Answer(WHOLE), ledger.open(self.req, "two").unwrap())
+
+    def test_answer_too_large_to_keep_is_still_remembered(self):
+        ledger = self.make(size=2_000)
+        ledger.open(self.req, "one")
+        ledger.close(self.key, WHOLE._replace(body=b"x" * 5_000))
+        found = ledger.open(self.req, "two").unwrap()
+        self.assertEqual(Answer(unknown(reasons.CANNOT_KNOW)), found)
+
+    def test_forgotten_after_its_life_and_never_run_again(self):
+        self.ledger.open(self.req, "one")
+        self.ledger.close(self.key, WHOLE)
+        self.clock.advance((LIFE_MS + 3 * ERROR_MS) / 1000)
+        found = self.ledger.open(self.req, "two").unwrap()
+        self.assertEqual(Answer(unknown(reasons.CANNOT_KNOW)), found)
+        self.assertEqual(0, len(self.ledger))
+
+    def test_run_in_flight_is_never_forgotten(self):
+        self.ledger.open(self.req, "one")
+        self.clock.advance(10 * LIFE_MS / 1000)
+        self.assertEqual(Join("one"), self.ledger.open(self.req, "two").unwrap())
+
+    @parameterized.expand(
+        [("not a uuid", "x"), ("version 4", "5f0c2f2e-9a55-4d64-8a64-111111111111")]
+    )
+    def test_malformed(self, _, key):
+        self.assertIsNone(born_ms(key))
+        refused = self.ledger.open(request(idempotency_key=key), "one")
+        self.assertIs(reasons.BAD_HEADER, refused.unwrap_err())
+
+    def test_one_seat_however_it_is_written(self):
+        self.assertEqual(
+            seat_of("payments", self.key, 12), seat_of("payments", self.key.upper(), 12)
+        )
