Process tests under kills, freezes, outages and races

Cause: the promises were shown only by the demo's good path. Fifteen tests start the fleet as processes and kill, freeze, cut and race it.

Before: none. No assertion is on a time.

--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,412 @@
+"""Separate processes under kills, freezes, outages and races.
+
+No assertion is on a time: waits end when the condition holds, and fail only
+when it never does.
+"""
+
+import asyncio
+import json
+import signal
+from collections import Counter
+
+import uuid6
+from testtools import TestCase
+
+from harness.fleet import Fleet
+
+TRACKERS = ("sofia-1a", "sofia-2a")
+PAYERS = ("sofia-1b", "sofia-2b")
+RATE_PER_S = 20
+BURST = 24
+
+DOCUMENT = f"""\
+service: payments
+seats: 12
+routes:
+  - {{name: deposit, path: /deposit, methods: [POST], open: true, idempotent: false,
+     importance: critical, timeout_ms: 8000}}
+  - {{name: balance, path: /balance, methods: [GET], open: true, idempotent: true,
+     retries: 2, timeout_ms: 8000}}
+  - {{name: audit, path: /audit, methods: [GET], open: false, idempotent: true}}
+organisations:
+  remenar-01: {{rate_per_s: 1000, burst: 1000}}
+  remenar-02: {{rate_per_s: {RATE_PER_S}, burst: {BURST}}}
+"""
+
+
+class Case(TestCase):
+    """A fleet of four hosts in two data centres, with a key for an organisation."""
+
+    def check(self, scenario, **settings):
+        asyncio.run(self._check(scenario, settings))
+
+    async def _check(self, scenario, settings):
+        self.fleet = fleet = Fleet(log_level="warning", **settings)
+        try:
+            await self.start(fleet)
+            await scenario()
+        except BaseException:
+            for name in fleet.hosts:
+                print(f"--- {name}\n{fleet.output(f'node-{name}')[-800:]}")
+            raise
+        finally:
+            await fleet.close()
+
+    async def start(self, fleet):
+        fleet.start_log()
+        await fleet.log_up()
+        path = fleet._dir / "payments.yaml"
+        path.write_text(DOCUMENT)
+        await fleet.apply(str(path))
+        await fleet.apply("examples/tracker.yaml")
+        for name in (*TRACKERS, *PAYERS):
+            fleet.add_host(name, name[:-1])
+        for name in fleet.hosts:
+            fleet.start_node(name)
+        for name in TRACKERS:
+            fleet.start_target(name, "tracker", "--call", "GET /payments/balance")
+        for name in PAYERS:
+            fleet.start_target(name, "payments", "--work-ms", "2")
+        await fleet.settled({"tracker": 2, "payments": 2})
+        self.key_id, self.key = await fleet.give_key("remenar-01")
+        await self.in_force(self.key)
+
+    async def in_force(self, key, status=200):
+        async def check():
+            answers = [await self.fleet.call(h, "/payments/balance", key) for h in self.fleet.hosts]
+            return all(answer.status == status for answer in answers)
+
+        await self.fleet.until(f"key gives {status}", check)
+
+    async def ran(self):
+        total = Counter()
+        for host in PAYERS:
+            total.update((await self.fleet.seen(host))["ran"])
+        return total
+
+    def deposit(self, host, key, order, **kwargs):
+        headers = {"Idempotency-Key": key, "X-Order": order}
+        return self.fleet.call(
+            host, "/payments/deposit", self.key, method="POST", headers=headers, body=b"5", **kwargs
+        )
+
+
+class KeyTest(Case):
+    """Keys, and what a caller may not bring."""
+
+    def test_withdrawn_key_stops_on_an_open_connection(self):
+        async def scenario():
+            code, _, err = await self.fleet.command(
+                "key", "withdraw", self.key_id, "--log", self.fleet.log_url
+            )
+            self.assertEqual(0, code, err)
+            await self.in_force(self.key, 401)
+
+        self.check(scenario)
+
+    def test_withdrawn_directly_while_the_log_is_down(self):
+        async def scenario():
+            await self.fleet.log_fault(down=True)
+            node = f"http://{self.fleet.hosts['sofia-1a'].egress}"
+            code, _, _ = await self.fleet.command(
+                "key", "withdraw", self.key_id, "--log", self.fleet.log_url, "--node", node
+            )
+            self.assertEqual(5, code)
+            await self.in_force(self.key, 401)
+
+        self.check(scenario)
+
+    def test_forged_headers_have_no_effect(self):
+        async def scenario():
+            forged = {
+                "Beryldrum-Organisation": "remenar-02",
+                "Beryldrum-Context": "0" * 32,
+                "Beryldrum-Importance": "critical",
+            }
+            for host in self.fleet.hosts:
+                answer = await self.fleet.call(host, "/payments/balance", self.key, headers=forged)
+                self.assertEqual(200, answer.status)
+                closed = await self.fleet.call(host, "/payments/audit", self.key, headers=forged)
+                self.assertEqual((403, "not-run"), (closed.status, closed.outcome))
+                none = await self.fleet.ask(
+                    f"http://{self.fleet.hosts[host].callers}/payments/balance", headers=forged
+                )
+                self.assertEqual((401, "not-run"), (none.status, none.outcome))
+            for host in PAYERS:
+                seen = await self.fleet.seen(host)
+                self.assertEqual(0, seen["keys_seen"])
+                self.assertEqual({"remenar-01"}, set(seen["organisations"]))
+
+        self.check(scenario)
+
+    def test_silence_beyond_the_bound_stops_keys(self):
+        async def scenario():
+            await self.fleet.log_fault(silent=True)
+            for host in (*TRACKERS[1:], *PAYERS):
+                self.fleet.signal(f"node-{host}", signal.SIGSTOP)
+
+            async def stale():
+                answer = await self.fleet.call("sofia-1a", "/payments/balance", self.key)
+                return answer.status == 503 and b"keys-stale" in answer.body
+
+            await self.fleet.until("keys are stale", stale, 40.0)
+
+        self.check(scenario, key_silence_s=5)
+
+
+class OnceTest(Case):
+    """Non-idempotent requests."""
+
+    def test_repeat_after_the_entry_was_killed(self):
+        async def scenario():
+            for host in PAYERS:
+                await self.fleet.fault(host, work_ms=400)
+            keys = [str(uuid6.uuid7()) for _ in range(12)]
+            first = [
+                asyncio.create_task(self.deposit("sofia-1a", key, f"order-{n}"))
+                for n, key in enumerate(keys)
+            ]
+            await asyncio.sleep(0.2)
+            self.fleet.signal("node-sofia-1a", signal.SIGKILL)
+            lost = await asyncio.gather(*first)
+            self.assertEqual({0}, {answer.status for answer in lost})
+            again = await asyncio.gather(
+                *(self.deposit("sofia-2a", key, f"order-{n}") for n, key in enumerate(keys))
+            )
+            self.assertEqual({200}, {answer.status for answer in again})
+            self.assertEqual({1}, set((await self.ran()).values()))
+
+        self.check(scenario)
+
+    def test_home_killed_gives_unknown_and_never_a_second_run(self):
+        async def scenario():
+            for host in PAYERS:
+                await self.fleet.fault(host, work_ms=400)
+            keys = [str(uuid6.uuid7()) for _ in range(12)]
+            first = [
+                asyncio.create_task(self.deposit("sofia-2a", key, f"order-{n}"))
+                for n, key in enumerate(keys)
+            ]
+            await asyncio.sleep(0.2)
+            self.fleet.signal("node-sofia-1b", signal.SIGKILL)
+            outcomes = Counter(answer.outcome for answer in await asyncio.gather(*first))
+            self.assertEqual({"answered", "unknown"}, set(outcomes))
+            self.fleet.start_node("sofia-1b")
+            await self.fleet.settled({"tracker": 2, "payments": 2})
+            for _ in range(2):
+                for number, key in enumerate(keys):
+                    await self.deposit("sofia-2a", key, f"order-{number}")
+                await asyncio.sleep(1.0)
+            self.assertEqual({1}, set((await self.ran()).values()))
+
+        self.check(scenario)
+
+    def test_answer_cut_in_mid_body_is_not_whole_nor_run_again(self):
+        async def scenario():
+            for host in PAYERS:
+                await self.fleet.fault(host, cut=1)
+            cut = [
+                await self.fleet.call(
+                    "sofia-1a",
+                    "/payments/deposit",
+                    self.key,
+                    method="POST",
+                    headers={"X-Order": f"o{n}"},
+                )
+                for n in range(6)
+            ]
+            outcomes = Counter(answer.outcome for answer in cut)
+            self.assertGreaterEqual(outcomes["unknown"], 1)
+            self.assertEqual({1}, set((await self.ran()).values()))
+            self.assertEqual(6, len(await self.ran()))
+
+        self.check(scenario)
+
+    def test_late_answers_reach_nobody_else(self):
+        async def scenario():
+            for host in PAYERS:
+                await self.fleet.fault(host, work_ms=600)
+            late = [
+                asyncio.create_task(
+                    self.fleet.call(
+                        "sofia-1a",
+                        "/payments/balance",
+                        self.key,
+                        headers={"Beryldrum-Timeout-Ms": "300"},
+                    )
+                )
+                for _ in range(6)
+            ]
+            results = await asyncio.gather(*late)
+            self.assertNotIn("answered", {answer.outcome for answer in results})
+            for host in PAYERS:
+                await self.fleet.fault(host, work_ms=2)
+            for number in range(40):
+                order = f"order-{number}"
+                answer = await self.fleet.call(
+                    "sofia-1a", "/payments/balance", self.key, headers={"X-Order": order}
+                )
+                if answer.status == 200:
+                    self.assertEqual(order, json.loads(answer.body)["order"])
+
+        self.check(scenario)
+
+
+class ConfigurationTest(Case):
+    """The platform's outages, and operators who race."""
+
+    def test_operators_race(self):
+        async def scenario():
+            path = str(self.fleet._dir / "payments.yaml")
+            base = json.loads(
+                (
+                    await self.fleet.command(
+                        "show", "payments", "--log", self.fleet.log_url, "--json"
+                    )
+                )[1]
+            )["version"]
+            await self.fleet.log_fault(lose_answers=2, double=1)
+            results = await asyncio.gather(
+                *(
+                    self.fleet.command(
+                        "apply", path, "--log", self.fleet.log_url, "--base", str(base)
+                    )
+                    for _ in range(3)
+                )
+            )
+            self.assertEqual([0, 3, 3], sorted(code for code, _, _ in results))
+
+            async def agreed():
+                states = [await self.fleet.status(host) for host in self.fleet.hosts]
+                return len({state["state_digest"] for state in states}) == 1
+
+            await self.fleet.until("all nodes agree", agreed)
+
+        self.check(scenario)
+
+    def test_serves_through_an_outage_of_the_log(self):
+        async def scenario():
+            await self.fleet.log_fault(silent=True)
+            for host in self.fleet.hosts:
+                answer = await self.fleet.call(host, "/tracker/track", self.key)
+                self.assertEqual(200, answer.status)
+                answer = await self.deposit(host, str(uuid6.uuid7()), f"order-{host}")
+                self.assertEqual(200, answer.status)
+            await self.fleet.log_fault()
+            _, second = await self.fleet.give_key("remenar-01")
+            await self.in_force(second)
+
+        self.check(scenario)
+
+    def test_a_replaced_node_learns_from_peers_while_the_log_is_away(self):
+        async def scenario():
+            await self.fleet.log_fault(silent=True)
+            self.fleet.signal("node-sofia-1a", signal.SIGKILL)
+            await self.fleet.wait_exit("node-sofia-1a")
+            self.fleet.start_node("sofia-1a")
+
+            async def serves():
+                answer = await self.fleet.call("sofia-1a", "/payments/balance", self.key)
+                return answer.status == 200
+
+            await self.fleet.until("the new node serves", serves, 40.0)
+
+        self.check(scenario)
+
+
+class RateTest(Case):
+    """Rate and burst of an organisation over all hosts together."""
+
+    def test_never_more_than_rate_and_burst(self):
+        async def scenario():
+            _, key = await self.fleet.give_key("remenar-02")
+
+            async def known():
+                answers = [await self.fleet.call(h, "/payments/none", key) for h in TRACKERS]
+                return all(answer.status == 404 for answer in answers)
+
+            await self.fleet.until("key known", known)
+            loop = asyncio.get_running_loop()
+            since = loop.time()
+            admitted = 0
+
+            async def hammer(host):
+                nonlocal admitted
+                while loop.time() - since < 3.0:
+                    answer = await self.fleet.call(host, "/payments/balance", key)
+                    admitted += answer.status == 200
+                    if answer.status == 429:
+                        self.assertEqual("not-run", answer.outcome)
+
+            await asyncio.gather(*(hammer(host) for host in self.fleet.hosts for _ in range(3)))
+            taken = loop.time() - since
+            self.assertLessEqual(admitted, BURST + RATE_PER_S * taken + 1)
+            self.assertGreaterEqual(admitted, BURST / 2)
+
+        self.check(scenario)
+
+
+class StopTest(Case):
+    """Leaving targets and planned stops."""
+
+    def test_leaving_target_gets_no_new_work(self):
+        async def scenario():
+            target = self.fleet.hosts["sofia-1b"].target
+            code, _, err = await self.fleet.command(
+                "drain", "payments", target, "--log", self.fleet.log_url
+            )
+            self.assertEqual(0, code, err)
+
+            async def quiet():
+                before = (await self.fleet.seen("sofia-1b"))["total"]
+                for host in self.fleet.hosts:
+                    answer = await self.fleet.call(host, "/payments/balance", self.key)
+                    self.assertEqual(200, answer.status)
+                return (await self.fleet.seen("sofia-1b"))["total"] == before
+
+            await self.fleet.until("no new work", quiet)
+            before = (await self.fleet.seen("sofia-1b"))["total"]
+            for number in range(30):
+                key = str(uuid6.uuid7())
+                answer = await self.deposit("sofia-2a", key, f"order-{number}")
+                self.assertEqual(200, answer.status)
+            self.assertEqual(before, (await self.fleet.seen("sofia-1b"))["total"])
+
+        self.check(scenario)
+
+    def test_planned_stop_cuts_nothing(self):
+        async def scenario():
+            for host in PAYERS:
+                await self.fleet.fault(host, work_ms=500)
+            asks = [
+                asyncio.create_task(self.fleet.call(host, "/payments/balance", self.key))
+                for host in ("sofia-1a", "sofia-1b", "sofia-2a")
+                for _ in range(5)
+            ]
+            await asyncio.sleep(0.25)
+            self.fleet.signal("node-sofia-1b", signal.SIGTERM)
+            self.fleet.signal("node-sofia-1b", signal.SIGTERM)
+            answers = await asyncio.gather(*asks)
+            self.assertEqual({200}, {answer.status for answer in answers})
+            self.assertEqual(0, await self.fleet.wait_exit("node-sofia-1b"))
+            for host in TRACKERS:
+                answer = await self.fleet.call(host, "/payments/balance", self.key)
+                self.assertEqual(200, answer.status)
+
+            async def seats_moved():
+                state = await self.fleet.status("sofia-2b")
+                return sum(1 for seat in state["seats"] if seat.startswith("payments/")) == 12
+
+            await self.fleet.until("seats handed back", seats_moved)
+
+        self.check(scenario)
+
+    def test_killed_target_side_is_routed_around(self):
+        async def scenario():
+            self.fleet.signal("node-sofia-1b", signal.SIGKILL)
+            self.fleet.signal("target-sofia-1b", signal.SIGKILL)
+            for _ in range(20):
+                answer = await self.fleet.call("sofia-1a", "/payments/balance", self.key)
+                self.assertEqual(200, answer.status)
+
+        self.check(scenario)
