--- a/beryldrum/limit.py
+++ b/beryldrum/limit.py
@@ -18,7 +18,10 @@
 SLOW_RATIO = 2.0
 FAILED_RATIO = 0.1
 DECREASE = 0.85
-BASELINE_DRIFT = 1.01
+PROBE_WINDOWS = 50
+PROBE_FRACTION = 0.25
+MOVED_RATIO = 1.2
+SLOW_WINDOWS = 4
 COLD_FRACTION = 0.25
 BUSY_FRACTION = 0.8
 
@@ -54,7 +57,11 @@
     """A bound that falls when runs slow down or fail and grows while they do not.
 
     It starts at a fraction of the announced slots, as a target is cold at first,
-    doubles up to them and then creeps, never past the announced connections.
+    doubles up to them and then creeps, never past the announced connections. When
+    it has moved, or stays slow, it is quartered for two windows, to learn anew
+    how fast an unhurried run is: a baseline that merely drifts would follow a
+    creeping limit upwards, and one that is never renewed would shut out a target
+    that has become slower by itself.
     ``seconds`` leaves out what the target waited for others, so that a slow
     service further down does not shut this one.
     """
@@ -66,6 +73,10 @@
         self._limit = min(self._most, max(1.0, self._slots * COLD_FRACTION))
         self._warm = False
         self._best = 0.0
+        self._windows = 0
+        self._probing = 0
+        self._probed = self._limit
+        self._slow_windows = 0
         self._samples: list[float] = []
         self._failed = 0
         self._peak = 0
@@ -73,6 +84,8 @@
 
     @property
     def value(self) -> int:
+        if self._probing:
+            return max(1, int(self._limit * PROBE_FRACTION))
         return int(self._limit)
 
     def finished(self, seconds: float, ok: bool, in_flight: int) -> None:
@@ -81,10 +94,25 @@
         self._peak = max(self._peak, in_flight)
         enough = len(self._samples) >= WINDOW_SAMPLES
         if enough and self._clock.now() - self._since >= WINDOW_S:
-            self._adjust()
+            self._close_window()
 
-    def _adjust(self) -> None:
+    def _close_window(self) -> None:
         median = statistics.median(self._samples)
+        if self._probing:
+            self._probe(median)
+        else:
+            self._adjust(median)
+        self._samples.clear()
+        self._failed = self._peak = 0
+        self._since = self._clock.now()
+
+    def _probe(self, median: float) -> None:
+        # The first window still holds runs that started before the halving.
+        self._probing -= 1
+        if not self._probing:
+            self._best = median
+
+    def _adjust(self, median: float) -> None:
         failed = self._failed > FAILED_RATIO * len(self._samples)
         slow = self._best > 0 and median > SLOW_RATIO * self._best
         if slow or failed:
@@ -92,10 +120,20 @@
             self._warm = True
         elif self._peak >= BUSY_FRACTION * self.value:
             self._limit = min(self._most, self._grown())
-        self._best = min(self._best * BASELINE_DRIFT, median) if self._best else median
-        self._samples.clear()
-        self._failed = self._peak = 0
-        self._since = self._clock.now()
+        self._best = min(self._best, median) if self._best else median
+        self._windows += 1
+        self._slow_windows = self._slow_windows + 1 if slow else 0
+        if self._due():
+            self._probing = 2
+            self._probed = self._limit
+            self._slow_windows = 0
+
+    def _due(self) -> bool:
+        ratio = self._limit / self._probed
+        moved = ratio > MOVED_RATIO or ratio < 1 / MOVED_RATIO
+        if self._slow_windows >= SLOW_WINDOWS:
+            return True
+        return moved and self._windows % PROBE_WINDOWS == 0
 
     def _grown(self) -> float:
         if self._warm or self._limit >= self._slots:
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,124 @@
+"""Keys and their silence, adverts and gossip."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum import records
+from beryldrum import request as reasons
+from beryldrum.fold import Fleet
+from beryldrum.keyring import Keyring, digest_of
+from beryldrum.roster import GONE, LEAVING, READY, Advert, Roster
+
+from .fakes import ManualClock, MemoryLog, rng
+
+
+class KeyringTest(TestCase):
+    """Which keys hold."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.keyring = Keyring(self.clock, 60.0)
+        log = MemoryLog()
+        log.add(records.KeyGive("g", "k1", digest_of("secret"), "remenar-01"))
+        self.fleet = Fleet()
+        self.fleet.apply(log.entries[0])
+        self.keyring.load(self.fleet)
+
+    def test_known(self):
+        self.assertEqual("remenar-01", self.keyring.organisation("secret").unwrap())
+
+    @parameterized.expand([("", reasons.NO_KEY), ("Secret", reasons.BAD_KEY)])
+    def test_refused(self, key, reason):
+        self.assertIs(reason, self.keyring.organisation(key).unwrap_err())
+
+    def test_withdrawn_directly(self):
+        self.assertTrue(self.keyring.withdraw("k1"))
+        self.assertFalse(self.keyring.withdraw("k1"))
+        self.assertIs(reasons.BAD_KEY, self.keyring.organisation("secret").unwrap_err())
+
+    def test_silence_ends_trust_and_news_restores_it(self):
+        self.clock.advance(59.0)
+        self.assertTrue(self.keyring.organisation("secret").is_ok())
+        self.clock.advance(2.0)
+        self.assertIs(reasons.KEYS_STALE, self.keyring.organisation("secret").unwrap_err())
+        self.keyring.heard(self.clock.now())
+        self.assertTrue(self.keyring.organisation("secret").is_ok())
+
+    def test_log_that_says_down_keeps_trust(self):
+        for _ in range(100):
+            self.clock.advance(30.0)
+            self.keyring.heard(self.clock.now())
+            self.assertTrue(self.keyring.organisation("secret").is_ok())
+
+
+class RosterTest(TestCase):
+    """Who is there."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.roster = self.make("a")
+
+    def make(self, node, incarnation="1", data_centre="one"):
+        own = self.advert(node, incarnation=incarnation, data_centre=data_centre)
+        return Roster(self.clock, rng(node), own)
+
+    def advert(self, node, later_ms=0, **changes):
+        base = Advert(node, "1", 0, "one", "payments", "t", READY, 8)
+        return base._replace(sequence=self.clock.wall_ms() + later_ms, **changes)
+
+    def test_newest_holds(self):
+        self.roster.learn([self.advert("b", 5, state=LEAVING)])
+        self.roster.learn([self.advert("b", 4)])
+        self.assertEqual(LEAVING, self.roster.get("b").state)
+
+    @parameterized.expand([(READY, 2), (LEAVING, 1), (GONE, 1)])
+    def test_candidates(self, state, count):
+        self.roster.learn([self.advert("b", state=state)])
+        self.assertEqual(count, len(self.roster.candidates("payments")))
+
+    def test_predecessor_on_the_address_is_outbid(self):
+        self.roster.learn([self.advert("a", 60_000, incarnation="0", state=GONE)])
+        self.assertEqual(READY, self.roster.get("a").state)
+        self.assertGreater(self.roster.own.sequence, self.clock.wall_ms() + 60_000)
+
+    def test_dead_advert_lapses_and_is_not_handed_back(self):
+        dead = self.advert("b")
+        self.roster.learn([dead])
+        self.clock.advance(1_001.0)
+        self.roster.tick()
+        self.assertIsNone(self.roster.get("b"))
+        self.assertEqual([], self.roster.learn([dead]))
+
+    def test_anti_entropy_brings_two_to_the_same(self):
+        other = self.make("z", data_centre="two")
+        self.roster.learn([self.advert(f"n{n}") for n in range(20)])
+        other.learn([self.advert(f"m{n}", data_centre="two") for n in range(20)])
+        other.learn(self.roster.differing(other.digests()))
+        self.roster.learn(other.differing(self.roster.digests()))
+        self.assertEqual(self.roster.digests(), other.digests())
+        self.assertEqual([], self.roster.differing(other.digests()))
+
+    def test_rumours_end(self):
+        self.roster.learn([self.advert("b")])
+        rounds = [len(self.roster.rumours()) for _ in range(20)]
+        self.assertEqual(2, rounds[0])
+        self.assertEqual(0, rounds[-1])
+
+    def test_gossip_reaches_all(self):
+        members = [self.make(f"n{n:02}") for n in range(94)]
+        for member in members:
+            member.learn([self.advert(f"n{n:02}") for n in range(94)])
+            while member.rumours():
+                pass
+        members[0].state(state=LEAVING)
+        by_node = {member.own.node: member for member in members}
+        rounds = 0
+        while any(member.get("n00").state == READY for member in members):
+            rounds += 1
+            for member in members:
+                rumours = member.rumours()
+                for node in member.partners(2):
+                    by_node[node].learn(rumours)
+            self.assertLess(rounds, 30)
