--- a/beryldrum/cli.py
+++ b/beryldrum/cli.py
@@ -193,7 +193,7 @@
 
     cfg = settings.read(args.settings)
     logs.setup(cfg.log_level, cfg.log_format)
-    await node.serve(cfg)
+    await node.serve(node.Node(cfg))
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/beryldrum/controllers.py
+++ b/beryldrum/controllers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import uuid
 from abc import ABC, abstractmethod
@@ -425,7 +426,8 @@
 class LoanController:
     """Borrows rate and burst from other holders of the service's seats."""
 
-    TRIES = 3
+    TRIES = 6
+    REMEMBERED = 10_000
 
     def __init__(
         self,
@@ -494,13 +496,18 @@
         if grant.rate_per_s <= 0 and grant.burst <= 0:
             self._poor_until[node, service, organisation] = asked_at + 0.25
             return
-        self._lenders[loan] = node
+        self._remember(loan, node)
         account = self._account(service, organisation)
         account.borrow(loan, Part(grant.rate_per_s, grant.burst), grant.tokens, asked_at)
         self._decisions.note(
             Decision("borrow", "own part used up", "", service, organisation, node)
         )
 
+    def _remember(self, loan: str, node: str) -> None:
+        self._lenders[loan] = node
+        if len(self._lenders) > self.REMEMBERED:
+            del self._lenders[next(iter(self._lenders))]
+
     def grant(self, ask: Any) -> Any:
         """Return the loan that this node gives on an ask."""
         account = self._account(ask.service_name, ask.organisation)
@@ -510,12 +517,18 @@
     async def return_all(self, accounts: list[Account]) -> None:
         """Give every loan back, for a planned stop."""
         for account in accounts:
-            for loan, tokens in account.give_back():
-                node = self._lenders.get(loan)
-                if node is None:
-                    continue
-                message = T.Envelope(loan_return=T.LoanReturn(loan, tokens))
-                try:
-                    await self._peers[node].tell(message)
-                except PeerLostError:
-                    continue
+            await self._tell_lenders(account.give_back())
+
+    async def return_idle(self, accounts: list[Account]) -> None:
+        """Give back the loans that are no longer needed, for others to borrow."""
+        for account in accounts:
+            await self._tell_lenders(account.give_back_idle())
+
+    async def _tell_lenders(self, given: list[tuple[str, float]]) -> None:
+        for loan, tokens in given:
+            node = self._lenders.get(loan)
+            if node is None:
+                continue
+            message = T.Envelope(loan_return=T.LoanReturn(loan, tokens))
+            with contextlib.suppress(PeerLostError):
+                await self._peers[node].tell(message)
--- a/beryldrum/node.py
+++ b/beryldrum/node.py
@@ -61,6 +61,7 @@
     Beside,
     HomeStep,
     RateFilter,
+    Slot,
     StateFilter,
     TargetStep,
     pump,
@@ -155,7 +156,7 @@
             ],
             target_step,
         )
-        retry = RetryFilter(shared, self._to_node)
+        retry = self.make_retry(shared)
         self._spill = chain([retry], _nowhere)
         self._home_step = HomeStep(self.ledger, self._home_run, self.decisions, self.metrics)
         common = [
@@ -361,14 +362,23 @@
         if old is not None and same:
             old.client.target = target
         else:
-            limit = LearntLimit(self.clock, target.slots, target.connections)
-            self.beside = Beside(TargetClient(target), Gate(self.clock, limit))
+            self.beside = Beside(TargetClient(target), self.make_gate(target))
         self._refresh()
 
+    def make_gate(self, target: Target) -> Gate[Slot]:
+        """Return the gate of a target; a baseline makes another one."""
+        limit = LearntLimit(self.clock, target.slots, target.connections)
+        return Gate(self.clock, limit)
+
+    def make_retry(self, shared: Shared) -> RetryFilter:
+        """Return the filter that makes the attempts; a baseline makes another one."""
+        return RetryFilter(shared, self._to_node)
+
     async def _housekeep(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self._refresh()
+            await self.loans.return_idle(list(self.accounts.values()))
             if self.beside is not None:
                 pump(self.beside.gate)
                 quiet_s = self.clock.now() - self._announced_at
@@ -473,9 +483,8 @@
     return not_run(request.NO_TARGET)
 
 
-async def serve(cfg: Settings) -> None:
+async def serve(node: Node) -> None:
     """Run a node until it is told to stop, then drain it."""
-    node = Node(cfg)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/beryldrum/shares.py
+++ b/beryldrum/shares.py
@@ -21,7 +21,7 @@
 SETTLE_S = LOAN_TERM_S + LENDER_MARGIN_S
 """How long a new holder leaves a seat unused: its last holder may have lent it."""
 
-DEMAND_WINDOW_S = 2.0
+DEMAND_WINDOW_S = 0.5
 HEADROOM = 1.25
 LEAST_LOAN_PER_S = 0.01
 
@@ -264,17 +264,28 @@
     def give_back(self) -> list[tuple[str, float]]:
         """Stop using every loan; returns their names and the tokens that go back."""
         self._advance()
+        names = [name for name, loan in self._borrowed.items() if loan.part != NOTHING]
+        return [(name, self._drop(name)) for name in names]
+
+    def give_back_idle(self) -> list[tuple[str, float]]:
+        """Stop using the loans that the demand no longer needs; returns as give_back."""
+        self._advance()
+        spare = self._capacity(self._at).rate_per_s - self.demand.rate(self._at) * HEADROOM
         given: list[tuple[str, float]] = []
         for name, loan in list(self._borrowed.items()):
-            if loan.part == NOTHING:
-                continue
-            before = self._tokens
-            # The name stays for the loan's term: a doubled grant is ignored.
-            self._borrowed[name] = Loan(NOTHING, loan.until)
-            self._clamp()
-            given.append((name, min(before - self._tokens, loan.part.burst)))
+            if loan.part != NOTHING and loan.part.rate_per_s <= spare:
+                spare -= loan.part.rate_per_s
+                given.append((name, self._drop(name)))
         return given
 
+    def _drop(self, name: str) -> float:
+        loan = self._borrowed[name]
+        before = self._tokens
+        # The name stays for the loan's term: a doubled grant is ignored.
+        self._borrowed[name] = Loan(NOTHING, loan.until)
+        self._clamp()
+        return min(before - self._tokens, loan.part.burst)
+
     def returned(self, loan: str, tokens: float) -> None:
         """Take back a loan that its borrower stopped using; a repeat is ignored."""
         self._advance()
--- a/beryldrum/target_side.py
+++ b/beryldrum/target_side.py
@@ -22,7 +22,7 @@
 from .shares import Account
 from .target import TargetClient
 
-__all__ = ["AdmitFilter", "Beside", "HomeStep", "RateFilter", "StateFilter", "TargetStep"]
+__all__ = ["AdmitFilter", "Beside", "HomeStep", "RateFilter", "Slot", "StateFilter", "TargetStep"]
 
 Slot = asyncio.Future[Reason | None]
 SHEDDING = frozenset((429, 503))
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -62,7 +62,8 @@
 class Fleet:
     """The log, the nodes and the targets, as processes."""
 
-    def __init__(self, **settings: Any) -> None:
+    def __init__(self, node_command: tuple[str, ...] = ("beryldrum", "node"), **settings: Any):
+        self._node_command = node_command
         self.log = address()
         self.hosts: dict[str, Host] = {}
         self._settings = settings
@@ -142,7 +143,7 @@
         }
         path = self._dir / f"{name}.yaml"
         path.write_text(yaml.safe_dump(cfg))
-        self.spawn(f"node-{name}", "beryldrum", "node", "--settings", str(path))
+        self.spawn(f"node-{name}", *self._node_command, "--settings", str(path))
 
     def start_target(self, name: str, service: str, *args: str) -> None:
         """Start the target of a host."""
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -87,6 +87,7 @@
     def test_lender_keeps_what_it_needs(self):
         for _ in range(8):
             self.lender.take()
+            self.clock.advance(0.25)
         part, _ = self.lend(10.0)
         self.assertEqual(5.0, part.rate_per_s)
 
@@ -129,6 +130,15 @@
         self.lender.refund()
         self.assertEqual(10.0, self.lender.tokens)
 
+    def test_idle_loan_goes_back_and_a_needed_one_stays(self):
+        part, tokens = self.lend()
+        self.borrower.borrow("loan", part, tokens, 0.0)
+        for _ in range(6):
+            self.borrower.take()
+        self.assertEqual([], self.borrower.give_back_idle())
+        self.clock.advance(2.0)
+        self.assertEqual(["loan"], [name for name, _ in self.borrower.give_back_idle()])
+
     def test_lowered_rate_is_obeyed_and_old_loans_end(self):
         part, tokens = self.lend()
         self.borrower.borrow("loan", part, tokens, 0.0)
