--- a/beryldrum/admin.py
+++ b/beryldrum/admin.py
@@ -91,6 +91,7 @@
             "gate": self._gate(),
             "ledger_keys": {s: len(ledger) for s, ledger in node.ledgers.items()},
             "counts": dict(node.metrics.totals),
+            "added_us": {"p50": node.metrics.added_us(50), "p99": node.metrics.added_us(99)},
         }
 
     def _accounts(self) -> dict[str, Any]:
--- a/beryldrum/limit.py
+++ b/beryldrum/limit.py
@@ -8,6 +8,7 @@
 import math
 import statistics
 from abc import ABC, abstractmethod
+from typing import NamedTuple
 
 from .clock import Clock
 
@@ -17,15 +18,24 @@
 WINDOW_SAMPLES = 8
 SLOW_RATIO = 2.0
 FAILED_RATIO = 0.1
-DECREASE = 0.85
-PROBE_WINDOWS = 50
+DECREASE = 0.8
+PROBE_WINDOWS = 10
 PROBE_FRACTION = 0.25
 MOVED_RATIO = 1.2
-SLOW_WINDOWS = 4
+TRIAL_WINDOWS = 2
+FASTER_RATIO = 0.93
 COLD_FRACTION = 0.25
 BUSY_FRACTION = 0.8
 
 
+class _Trial(NamedTuple):
+    """A fall that is to be judged: the limit and the run time before it."""
+
+    limit: float
+    median: float
+    windows: int
+
+
 class Limit(ABC):
     """A bound on runs in flight."""
 
@@ -57,11 +67,14 @@
     """A bound that falls when runs slow down or fail and grows while they do not.
 
     It starts at a fraction of the announced slots, as a target is cold at first,
-    doubles up to them and then creeps, never past the announced connections. When
-    it has moved, or stays slow, it is quartered for two windows, to learn anew
-    how fast an unhurried run is: a baseline that merely drifts would follow a
-    creeping limit upwards, and one that is never renewed would shut out a target
-    that has become slower by itself.
+    doubles up to them and then creeps, never past the announced connections.
+
+    A fall is a trial: where runs get no faster by it, the target has become
+    slower by itself, and fewer at once would only waste it. Then the fall is
+    taken back and the new speed is the baseline. When the bound has moved far, it
+    is quartered for two windows to learn the speed of an unhurried run anew, or a
+    baseline taken under load would hold for good.
+
     ``seconds`` leaves out what the target waited for others, so that a slow
     service further down does not shut this one.
     """
@@ -76,7 +89,7 @@
         self._windows = 0
         self._probing = 0
         self._probed = self._limit
-        self._slow_windows = 0
+        self._trial: _Trial | None = None
         self._samples: list[float] = []
         self._failed = 0
         self._peak = 0
@@ -100,6 +113,8 @@
         median = statistics.median(self._samples)
         if self._probing:
             self._probe(median)
+        elif self._trial is not None:
+            self._judge(self._trial, median)
         else:
             self._adjust(median)
         self._samples.clear()
@@ -107,33 +122,40 @@
         self._since = self._clock.now()
 
     def _probe(self, median: float) -> None:
-        # The first window still holds runs that started before the halving.
+        # The first window still holds runs that started before the quartering.
         self._probing -= 1
         if not self._probing:
             self._best = median
 
+    def _judge(self, trial: "_Trial", median: float) -> None:
+        if trial.windows > 1:
+            self._trial = trial._replace(windows=trial.windows - 1)
+            return
+        self._trial = None
+        if median > trial.median * FASTER_RATIO:
+            self._limit = trial.limit
+            self._best = median
+
     def _adjust(self, median: float) -> None:
         failed = self._failed > FAILED_RATIO * len(self._samples)
-        slow = self._best > 0 and median > SLOW_RATIO * self._best
-        if slow or failed:
-            self._limit = max(1.0, self._limit * DECREASE)
-            self._warm = True
+        if failed:
+            self._fall()
+        elif self._best > 0 and median > SLOW_RATIO * self._best:
+            self._trial = _Trial(self._limit, median, TRIAL_WINDOWS)
+            self._fall()
         elif self._peak >= BUSY_FRACTION * self.value:
             self._limit = min(self._most, self._grown())
         self._best = min(self._best, median) if self._best else median
         self._windows += 1
-        self._slow_windows = self._slow_windows + 1 if slow else 0
-        if self._due():
+        ratio = self._limit / self._probed
+        moved = ratio > MOVED_RATIO or ratio < 1 / MOVED_RATIO
+        if moved and self._trial is None and self._windows % PROBE_WINDOWS == 0:
             self._probing = 2
             self._probed = self._limit
-            self._slow_windows = 0
 
-    def _due(self) -> bool:
-        ratio = self._limit / self._probed
-        moved = ratio > MOVED_RATIO or ratio < 1 / MOVED_RATIO
-        if self._slow_windows >= SLOW_WINDOWS:
-            return True
-        return moved and self._windows % PROBE_WINDOWS == 0
+    def _fall(self) -> None:
+        self._limit = max(1.0, self._limit * DECREASE)
+        self._warm = True
 
     def _grown(self) -> float:
         if self._warm or self._limit >= self._slots:
--- a/beryldrum/node.py
+++ b/beryldrum/node.py
@@ -46,9 +46,9 @@
 from .listener import Listener
 from .log import HttpLog
 from .metrics import Metrics
-from .news import News
+from .news import NEVER, News
 from .peer import Peers, PeerServer
-from .request import Reason, Reply, Request, not_run, unknown
+from .request import Outcome, Reason, Reply, Request, not_run, unknown
 from .retry import ELSEWHERE, Budget
 from .roster import GONE, LEAVING, READY, Advert, Roster
 from .runs import Runs
@@ -378,6 +378,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self._refresh()
+            self._gauge()
             await self.loans.return_idle(list(self.accounts.values()))
             if self.beside is not None:
                 pump(self.beside.gate)
@@ -388,6 +389,14 @@
                     self.beside = None
                     self._advertise()
 
+    def _gauge(self) -> None:
+        self.metrics.gauge("decisions.dropped", self.decisions.dropped)
+        if self.news.confirmed_at != NEVER:
+            self.metrics.gauge("news.age_ms", self.news.age_s() * 1000)
+        if self.beside is not None:
+            for name, value in self.beside.gate.load()._asdict().items():
+                self.metrics.gauge(f"gate.{name}", value)
+
     # Life.
 
     async def start(self) -> None:
@@ -432,6 +441,8 @@
 
     def _done(self, req: Request, reply: Reply, seconds: float) -> None:
         self.metrics.count("outcome." + reply.outcome.name.lower())
+        if reply.outcome is Outcome.ANSWERED:
+            self.metrics.added(seconds - reply.target_us / 1e6)
         if reply.reason is not None:
             self.metrics.count("reason." + reply.reason.type)
 
--- a/beryldrum/request.py
+++ b/beryldrum/request.py
@@ -104,7 +104,10 @@
 
 
 class Reply(NamedTuple):
-    """The outcome of a request, with what the gate says of its load."""
+    """The outcome of a request, with what the gate says of its load.
+
+    ``target_us`` is how long the target had it, in microseconds.
+    """
 
     outcome: Outcome
     status: int
@@ -117,6 +120,7 @@
     deeper: bool = False
     load_permille: int = 0
     path_level: int = NO_LEVEL
+    target_us: int = 0
 
 
 def not_run(reason: Reason, retry_after_ms: int = 0, allowance: int = 0) -> Reply:
--- a/beryldrum/target_side.py
+++ b/beryldrum/target_side.py
@@ -161,6 +161,7 @@
                 allowance=run.allowance.left,
                 deeper=run.failed_deeper,
                 path_level=run.path_level,
+                target_us=int(run.seconds()[0] * 1e6),
             )
         finally:
             self._runs.end(run)
--- a/beryldrum/transit.py
+++ b/beryldrum/transit.py
@@ -75,6 +75,7 @@
         deeper=reply.deeper,
         load_permille=reply.load_permille,
         path_level=reply.path_level,
+        target_us=reply.target_us,
     )
 
 
@@ -92,6 +93,7 @@
         deeper=message.deeper,
         load_permille=message.load_permille,
         path_level=message.path_level,
+        target_us=message.target_us,
     )
 
 
--- a/beryldrum/wire.thrift
+++ b/beryldrum/wire.thrift
@@ -30,6 +30,7 @@
   9: bool deeper              // the failure lies further down
   10: i32 load_permille       // runs in flight against the limit
   11: i32 path_level          // likewise, of the gates further down
+  12: i64 target_us           // the target's time, in microseconds
 }
 
 struct Advert {
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -249,6 +249,13 @@
         self.assertLess(found, 80)
         self.assertGreaterEqual(found, 10)
 
+    def test_a_target_slow_by_itself_is_not_shut(self):
+        clock = ManualClock()
+        limit = LearntLimit(clock, slots=20, connections=240)
+        self.drive(limit, clock, capacity=20, work_s=0.025, rounds=200)
+        slow = self.drive(limit, clock, capacity=20, work_s=0.1, rounds=200)
+        self.assertGreaterEqual(slow, 16)
+
     def test_cold_start_ramps_up_to_the_slots(self):
         clock = ManualClock()
         limit = LearntLimit(clock, slots=100, connections=1_000)
