--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format model bench capacity binary binary-test clean
+.PHONY: demo test lint format model bench mutants capacity binary binary-test clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -25,6 +25,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+mutants: $(STAMP)
+	$(BIN)/python -m harness.mutants
+
 model: $(STAMP)
 	$(BIN)/python -m spec
 
--- a/beryldrum/wire.py
+++ b/beryldrum/wire.py
@@ -28,6 +28,12 @@
 )
 """The message types, by the names that they have in ``wire.thrift``."""
 
+CONTENTS = tuple(
+    name
+    for _, name, *_ in types.Envelope.thrift_spec.values()
+    if name not in ("sequence", "response")
+)
+
 _factory: Any = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
 
 
@@ -42,9 +48,13 @@
 def decode(body: bytes) -> Any:
     """Return the ``Envelope`` in ``body``; raises FrameError."""
     try:
-        return deserialize(types.Envelope(), body, _factory)
+        envelope = deserialize(types.Envelope(), body, _factory)
     except Exception as exc:
         raise FrameError(str(exc)) from exc
+    # The codec passes over what it does not know, so garbage may decode.
+    if all(getattr(envelope, name) is None for name in CONTENTS):
+        raise FrameError("an envelope without content")
+    return envelope
 
 
 async def read_frame(reader: asyncio.StreamReader) -> bytes:
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -128,8 +128,8 @@
         self.hosts[name] = host
         return host
 
-    def start_node(self, name: str, **changes: Any) -> None:
-        """Start the node of a host."""
+    def write_settings(self, name: str, **changes: Any) -> Path:
+        """Write the settings of a host's node and return the file."""
         host = self.hosts[name]
         cfg = {
             "node": host.node,
@@ -143,6 +143,11 @@
         }
         path = self._dir / f"{name}.yaml"
         path.write_text(yaml.safe_dump(cfg))
+        return path
+
+    def start_node(self, name: str, **changes: Any) -> None:
+        """Start the node of a host."""
+        path = self.write_settings(name, **changes)
         self.spawn(f"node-{name}", *self._node_command, "--settings", str(path))
 
     def start_target(self, name: str, service: str, *args: str) -> None:
--- /dev/null
+++ b/harness/mutants.py
@@ -0,0 +1,250 @@
+"""Switches each mechanism off in a copy and sees its test fail: ``make mutants``.
+
+Prints one JSON line each and exits 0 only if every test failed as it must. A
+proof that passes without its mechanism proves nothing.
+"""
+
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+__all__ = ["MUTANTS", "Mutant"]
+
+ROOT = Path(__file__).parents[1]
+COPIED = ("beryldrum", "harness", "tests", "spec", "examples", "pyproject.toml")
+TIMEOUT_S = 180
+
+
+class Mutant(NamedTuple):
+    """A mechanism, the text that switches it off, and the test that must fail."""
+
+    promise: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+FLEET = "tests/test_fleet.py::"
+OVERLOAD = "tests/test_overload.py::"
+MUTANTS = (
+    Mutant(
+        "retries stay bounded end to end",
+        "retry.py",
+        "        self.left -= part\n",
+        "",
+        OVERLOAD + "AllowanceTest",
+    ),
+    Mutant(
+        "a node retries a tenth at most",
+        "retry.py",
+        "        if self._left < 1.0:\n            return False\n",
+        "",
+        OVERLOAD + "AllowanceTest",
+    ),
+    Mutant(
+        "important requests go last",
+        "level.py",
+        "        if priority >= self.value:\n            return False\n",
+        "",
+        OVERLOAD + "LevelTest",
+    ),
+    Mutant(
+        "fair shares at the gate",
+        "queue.py",
+        "min(self.waiting, key=lambda name: self.finish[name])",
+        "next(iter(self.waiting))",
+        OVERLOAD + "QueueTest",
+    ),
+    Mutant(
+        "what expired is never started",
+        "gate.py",
+        "            if not self._finishes(now, entry.deadline):\n",
+        "            if False:\n",
+        OVERLOAD + "GateTest",
+    ),
+    Mutant(
+        "the limit is learnt",
+        "limit.py",
+        "        return int(self._limit)\n",
+        "        return self._slots\n",
+        OVERLOAD + "LimitTest",
+    ),
+    Mutant(
+        "no target sees the key",
+        "caller_side.py",
+        "if k.lower() != AUTHORIZATION)",
+        "if k)",
+        FLEET + "KeyTest::test_forged_headers_have_no_effect",
+    ),
+    Mutant(
+        "closed routes stay closed",
+        "caller_side.py",
+        "        if not route.open:\n            return request.NOT_OPEN\n",
+        "",
+        FLEET + "KeyTest::test_forged_headers_have_no_effect",
+    ),
+    Mutant(
+        "a withdrawn key stops",
+        "fold.py",
+        "if key.key_id != record.key_id}",
+        "if key}",
+        FLEET + "KeyTest::test_withdrawn_key_stops_on_an_open_connection",
+    ),
+    Mutant(
+        "a key withdrawn directly stops",
+        "keyring.py",
+        "if known.key_id in self.withdrawn:",
+        "if False:",
+        FLEET + "KeyTest::test_withdrawn_directly_while_the_log_is_down",
+    ),
+    Mutant(
+        "keys are not trusted in silence for ever",
+        "keyring.py",
+        "if self._clock.now() - self._heard_at > self._silence_s:",
+        "if False:",
+        "tests/test_members.py::KeyringTest",
+    ),
+    Mutant(
+        "no more than rate and burst: a seat has one user",
+        "seats.py",
+        "held[service, number] = Held(seat, now + SETTLE_S, settled_ms)",
+        "held[service, number] = Held(seat, now, 0)",
+        "tests/test_rates.py::SeatTest",
+    ),
+    Mutant(
+        "no more than rate and burst: the burst goes with the loan",
+        "shares.py",
+        "        self._tokens -= tokens\n        self._clamp()\n        return grant, tokens\n",
+        "        return grant, tokens + 1.0\n",
+        "tests/test_rates.py::RandomTest",
+    ),
+    Mutant(
+        "no more than rate and burst: a rate at all",
+        "target_side.py",
+        "        if not account.take() and not await self._wait(account, req):\n",
+        "        if False:\n",
+        FLEET + "RateTest",
+    ),
+    Mutant(
+        "a caller gets the answer to its own request",
+        "peer.py",
+        "fut = self._waiting.pop(envelope.sequence, None)",
+        "fut = self._waiting.pop(next(iter(self._waiting), 0), None)",
+        FLEET + "OnceTest::test_late_answers_reach_nobody_else",
+    ),
+    Mutant(
+        "not run is true",
+        "target_side.py",
+        "            return unknown(request.LOST)\n",
+        "            return not_run(request.LOST)\n",
+        FLEET + "OnceTest::test_answer_cut_in_mid_body_is_not_whole_nor_run_again",
+    ),
+    Mutant(
+        "at most once: a repeat finds its run",
+        "ledger.py",
+        "        if entry is not None:\n            return self._repeat(entry, req)\n",
+        "",
+        FLEET + "OnceTest::test_repeat_after_the_entry_was_killed",
+    ),
+    Mutant(
+        "at most once: a new home does not guess",
+        "ledger.py",
+        "        if born <= held + 3 * self._error_ms or born + self._life_ms <= now:\n",
+        "        if False:\n",
+        FLEET + "OnceTest::test_home_killed_gives_unknown_and_never_a_second_run",
+    ),
+    Mutant(
+        "a leaving target gets no new work",
+        "node.py",
+        "if target.state != READY or (doc and target.address in doc.leaving):",
+        "if False:",
+        FLEET + "StopTest::test_leaving_target_gets_no_new_work",
+    ),
+    Mutant(
+        "a planned stop cuts nothing",
+        "node.py",
+        "while self._in_flight() and self.clock.now() < until:",
+        "while False:",
+        FLEET + "StopTest::test_planned_stop_cuts_nothing",
+    ),
+    Mutant(
+        "a configuration never reverts",
+        "news.py",
+        "        if fleet.offset <= self.fleet.offset:\n            return False\n",
+        "",
+        "tests/test_configuration.py::NewsTest",
+    ),
+    Mutant(
+        "of racing operators one wins",
+        "fold.py",
+        "if record.base_version != self.version(record.service):",
+        "if False:",
+        FLEET + "ConfigurationTest::test_operators_race",
+    ),
+    Mutant(
+        "a lost answer is settled",
+        "log.py",
+        "                if offset is not None:\n                    return offset\n",
+        "",
+        "tests/test_configuration.py::SettleTest",
+    ),
+    Mutant(
+        "peers hand over the configuration",
+        "controllers.py",
+        "        if answer.image:\n            self._news.adopt(answer.image)\n",
+        "        return\n",
+        FLEET + "ConfigurationTest::test_a_replaced_node_learns_from_peers_while_the_log_is_away",
+    ),
+)
+
+
+def _copy(folder: Path) -> None:
+    for name in COPIED:
+        source = ROOT / name
+        if source.is_dir():
+            shutil.copytree(source, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
+        else:
+            shutil.copy(source, folder / name)
+
+
+def run(mutant: Mutant) -> bool:
+    """Tell whether the test fails with the mechanism off."""
+    with tempfile.TemporaryDirectory(prefix="beryldrum-mutant-") as name:
+        folder = Path(name)
+        _copy(folder)
+        path = folder / "beryldrum" / mutant.file
+        text = path.read_text()
+        if mutant.old not in text:
+            raise ValueError(f"{mutant.file} has no such text: {mutant.old!r}")
+        path.write_text(text.replace(mutant.old, mutant.new))
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-q", "-x", mutant.test],
+            cwd=folder,
+            capture_output=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        return done.returncode == 1
+
+
+def main() -> int:
+    """Try every mutant, or those whose promise contains the argument."""
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
+    survived = 0
+    for mutant in MUTANTS:
+        if wanted not in mutant.promise:
+            continue
+        failed = run(mutant)
+        survived += not failed
+        line = {"off": mutant.promise, "test": mutant.test, "fails as it must": failed}
+        print(json.dumps(line), flush=True)
+    return 1 if survived else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
