--- a/beryldrum/controllers.py
+++ b/beryldrum/controllers.py
@@ -84,6 +84,7 @@
     DOWN_PAUSE_S = 0.5
     IDLE_PAUSE_S = 0.25
     SNAPSHOT_EVERY = 500
+    SNAPSHOT_CHANCE = 0.1
 
     def __init__(
         self,
@@ -93,6 +94,7 @@
         roster: Roster,
         clock: Clock,
         rng: random.Random,
+        snapshot_s: float,
     ) -> None:
         self._log = log
         self._news = news
@@ -100,6 +102,9 @@
         self._roster = roster
         self._clock = clock
         self._rng = rng
+        self._snapshot_s = snapshot_s
+        self._snapshot_offset = 0
+        self._snapshot_at = clock.now()
         self.state = "unread"
 
     async def step(self) -> None:
@@ -148,14 +153,23 @@
             await asyncio.sleep(self.DOWN_PAUSE_S)
 
     async def _snapshot(self) -> None:
-        fleet = self._news.fleet
-        due = fleet.offset - fleet.snapshot_offset - self.SNAPSHOT_EVERY
-        if due < 0 or self._rng.random() > (due + 1) / self.SNAPSHOT_EVERY:
+        if not self._snapshot_due() or self._rng.random() > self.SNAPSHOT_CHANCE:
             return
+        fleet = self._news.fleet
         record = records.Snapshot(uuid.uuid4().hex, fleet.offset, fleet.image())
-        fleet.snapshot_offset = fleet.offset
         await self._log.append(records.encode(record))
 
+    def _snapshot_due(self) -> bool:
+        # By time as well: the log forgets by time, snapshots too, so a quiet
+        # fleet needs one anew although nothing has changed.
+        fleet = self._news.fleet
+        if fleet.snapshot_offset != self._snapshot_offset:
+            self._snapshot_offset = fleet.snapshot_offset
+            self._snapshot_at = self._clock.now()
+        many = fleet.offset - fleet.snapshot_offset >= self.SNAPSHOT_EVERY
+        old = self._clock.now() - self._snapshot_at >= self._snapshot_s
+        return bool(fleet.offset) and (many or old)
+
 
 class NewsController(Controller):
     """Asks peers for the configuration, and answers those who ask.
--- a/beryldrum/node.py
+++ b/beryldrum/node.py
@@ -119,7 +119,15 @@
 
     def _make_controllers(self, rng: random.Random) -> None:
         common = (self.roster, self.peers)
-        self.log = LogController(self._log, self.news, self.keyring, self.roster, self.clock, rng)
+        self.log = LogController(
+            self._log,
+            self.news,
+            self.keyring,
+            self.roster,
+            self.clock,
+            rng,
+            self.cfg.snapshot_s,
+        )
         self.asker = NewsController(self.news, self.keyring, *common, self.log, self.clock, rng)
         self.gossip = GossipController(
             *common, self.news, self.keyring, self.cfg.seeds, self.asker.woken, rng
--- a/beryldrum/settings.py
+++ b/beryldrum/settings.py
@@ -39,6 +39,7 @@
     max_body_bytes: int = 1_048_576
     key_silence_s: float = 7_200.0
     seat_hold_s: float = 7_200.0
+    snapshot_s: float = 3_600.0
     idempotency_life_s: float = 600.0
     clock_error_ms: int = 500
     ledger_entries: int = 20_000
@@ -96,6 +97,7 @@
         max_body_bytes=section.integer("max_body_bytes", 1, 8 * 2**20, base.max_body_bytes),
         key_silence_s=section.number("key_silence_s", 5, 86_400, base.key_silence_s),
         seat_hold_s=section.number("seat_hold_s", 1, 86_400, base.seat_hold_s),
+        snapshot_s=section.number("snapshot_s", 10, 86_400, base.snapshot_s),
         idempotency_life_s=section.number("idempotency_life_s", 1, 86_400, 600),
         clock_error_ms=section.integer("clock_error_ms", 0, 60_000, base.clock_error_ms),
         ledger_entries=section.integer("ledger_entries", 1, 10_000_000, base.ledger_entries),
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,12 +6,15 @@
 from testtools import TestCase
 
 from beryldrum import records
+from beryldrum.controllers import LogController
 from beryldrum.errors import AppendUnknownError, LogDownError
 from beryldrum.fold import Fleet, Verdict, start_from
+from beryldrum.keyring import Keyring
 from beryldrum.log import Batch, append_settled
 from beryldrum.news import News
+from beryldrum.roster import READY, Advert, Roster
 
-from .fakes import DOCUMENT, ManualClock, MemoryLog, claim, publish
+from .fakes import DOCUMENT, ManualClock, MemoryLog, claim, publish, rng
 
 
 def folded(log):
@@ -174,6 +177,64 @@
         self.assertIsNone(other.since(0))
 
 
+class FollowTest(TestCase):
+    """Following the log through its retention."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.log = MemoryLog()
+        self.log.add(publish())
+        self.news, self.follower = self.make()
+
+    def make(self):
+        news = News(self.clock)
+        own = Advert("a", "1", 0, "one", "", "", READY, 0)
+        roster = Roster(self.clock, rng(), own)
+        keyring = Keyring(self.clock, 60.0)
+        follower = LogController(
+            self.log, news, keyring, roster, self.clock, rng(), snapshot_s=3_600
+        )
+        return news, follower
+
+    def steps(self, count, follower=None):
+        async def run():
+            for _ in range(count):
+                await (follower or self.follower).step()
+
+        asyncio.run(run())
+
+    def snapshots(self):
+        found = [records.decode(entry.data) for entry in self.log.entries]
+        return sum(isinstance(record, records.Snapshot) for record in found)
+
+    def test_a_quiet_log_gets_a_snapshot_and_another(self):
+        self.steps(50)
+        self.assertEqual(0, self.snapshots())
+        for count in (1, 2):
+            self.clock.advance(3_601)
+            self.steps(100)
+            self.assertEqual(count, self.snapshots())
+
+    def test_newcomer_after_the_records_expired(self):
+        self.clock.advance(3_601)
+        self.steps(100)
+        del self.log.entries[0]
+        self.log.first = 2
+        news, follower = self.make()
+        self.steps(2, follower)
+        self.assertEqual(self.news.fleet.versions, news.fleet.versions)
+        self.assertEqual("up", follower.state)
+
+    def test_log_that_lost_all_leaves_the_state(self):
+        self.steps(1)
+        self.log.entries.clear()
+        self.log.first = 50
+        self.steps(2)
+        self.assertEqual(1, self.news.fleet.version("payments"))
+        self.assertEqual("truncated", self.follower.state)
+
+
 class SettleTest(TestCase):
     """A lost answer is settled, never guessed."""
 
