Idempotency keys with a home within reach; reload of certificates tested

Cause: in a data centre that is cut off, a caller's own keys have their home outside two times in three (three data centres), so deposits stop there. A key asked for at a node is drawn until its seat is near: 40 of 40 in each of four cases (own seat, near, near that answers, anywhere).

Ruled out: a data centre's mark in the key (the key would then say where its home must be, also after its seats have moved).

--- a/beryldrum/node.py
+++ b/beryldrum/node.py
@@ -47,6 +47,7 @@
 from .listener import Listener
 from .log import HttpLog
 from .metrics import Metrics
+from .mint import MintFilter
 from .news import NEVER, News
 from .peer import Peers, PeerServer
 from .request import Outcome, Reason, Reply, Request, not_run, unknown
@@ -172,6 +173,12 @@
         retry = self.make_retry(shared)
         self._spill = chain([retry], _nowhere)
         self._home_step = HomeStep(self.ledger, self._home_run, self.decisions, self.metrics)
+        mint = MintFilter(
+            self.news,
+            self.roster,
+            self.balancer,
+            lambda service, number: self.book.held_since_ms(service, number) is not None,
+        )
         common = [
             RouteFilter(shared),
             PathFilter(shared),
@@ -179,7 +186,7 @@
             retry,
         ]
         self._outside = chain(
-            [StateFilter(self._entry_state), KeyFilter(shared), *common], _nowhere
+            [StateFilter(self._entry_state), KeyFilter(shared), mint, *common], _nowhere
         )
         self._inside = chain([ContextFilter(shared), *common], _nowhere)
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -6,6 +6,7 @@
 import io
 import ipaddress
 import json
+import ssl
 import tempfile
 from pathlib import Path
 
@@ -18,6 +19,7 @@
 from testtools import TestCase
 
 from beryldrum import cli, logs, operations, tls, wire
+from beryldrum.clock import SystemClock
 from beryldrum.decisions import Decision, DecisionLog
 from beryldrum.document import parse
 from beryldrum.errors import (
@@ -27,7 +29,9 @@
     TargetLostError,
     TargetUnreachedError,
 )
+from beryldrum.listener import Listener
 from beryldrum.peer import Peer, PeerServer
+from beryldrum.request import Outcome, Reply
 from beryldrum.settings import Tls
 from beryldrum.target import Target, TargetClient, forwarded
 from harness.fleet import address, free_port
@@ -250,6 +254,33 @@
             server, client = Tls(cert, key, cert), Tls(other, other_key, other)
         self.assertRaises(PeerLostError, self.ask, server, client)
 
+    def test_reload_serves_callers_the_new_certificate(self):
+        async def handler(req):
+            return Reply(Outcome.ANSWERED, 200)
+
+        async def shown(where):
+            host, port = where.split(":")
+            context = ssl.create_default_context()
+            context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+            _, writer = await asyncio.open_connection(host, int(port), ssl=context)
+            found = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
+            writer.close()
+            return x509.load_der_x509_certificate(found).subject.rfc4514_string()
+
+        async def scenario():
+            cfg = Tls(*certificate(self.folder, "old"))
+            context = tls.server_context(cfg)
+            listener = Listener(handler, SystemClock(), 1_000, None, lambda *_: None)
+            where = address()
+            await listener.start(where, context)
+            before = await shown(where)
+            tls.reload(context, Tls(*certificate(self.folder, "new")))
+            after = await shown(where)
+            await listener.close()
+            return before, after
+
+        self.assertEqual(("CN=old", "CN=new"), asyncio.run(scenario()))
+
     def test_wrong_key_is_told(self):
         cert, _ = certificate(self.folder, "one")
         _, key = certificate(self.folder, "two")
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,19 +1,70 @@
 """A non-idempotent request runs at most once."""
 
+import asyncio
+import json
+
 from parameterized import parameterized
 from testtools import TestCase
 
 from beryldrum import request as reasons
+from beryldrum.balance import Balancer
 from beryldrum.ledger import Answer, Join, Ledger, Run, born_ms, seat_of
+from beryldrum.mint import MintFilter
+from beryldrum.news import News
 from beryldrum.request import Outcome, Reply, not_run, unknown
+from beryldrum.roster import READY, Advert, Roster
 
-from .fakes import ManualClock, request, uuid7
+from .fakes import ManualClock, MemoryLog, claim, publish, request, rng, uuid7
 
 WHOLE = Reply(Outcome.ANSWERED, 200, (("X", "1"),), b"whole")
 LIFE_MS = 60_000
 ERROR_MS = 500
 
 
+class MintTest(TestCase):
+    """Keys asked for have a home that can be reached."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.news = News(self.clock)
+        log = MemoryLog()
+        log.add(publish())
+        for seat, node in enumerate(("a", "b", "c", "c")):
+            log.add(claim(seat=seat, node=node))
+        self.news.apply(log.entries)
+        own = self.advert("x", "one")
+        self.roster = Roster(self.clock, rng(), own)
+        self.roster.learn([self.advert("a", "one"), self.advert("b", "one")])
+        self.roster.learn([self.advert("c", "two")])
+        self.balancer = Balancer(self.clock, rng(), "one")
+
+    def advert(self, node, data_centre):
+        return Advert(node, "1", self.clock.wall_ms(), data_centre, "payments", "t", READY, 8)
+
+    @parameterized.expand(
+        [
+            ("own", {2}, (), {2}),
+            ("near", set(), (), {0, 1}),
+            ("near that answers", set(), ("a",), {1}),
+            ("anywhere", set(), ("a", "b"), {2, 3}),
+        ]
+    )
+    def test_home(self, _, held, failed, expected):
+        for node in failed:
+            self.balancer.sent(node)
+            self.balancer.failed(node)
+        minting = MintFilter(self.news, self.roster, self.balancer, lambda _, n: n in held)
+        req = request(path="/.beryldrum/idempotency-key")
+        seats = set()
+        for _ in range(40):
+            reply = asyncio.run(minting.handle(req, None))
+            key = json.loads(reply.body)["idempotency_key"]
+            self.assertIsNotNone(born_ms(key))
+            seats.add(seat_of("payments", key, 4))
+        self.assertEqual(expected, seats)
+
+
 class LedgerTest(TestCase):
     """One home, and a key that its caller repeats."""
 
