--- a/beryldrum/standin/target.py
+++ b/beryldrum/standin/target.py
@@ -16,12 +16,13 @@
 from aiohttp import web
 
 from ..peer import split
-from ..target import CONTEXT, ORGANISATION
+from ..target import CONTEXT, ORGANISATION, TIMEOUT
 
 __all__ = ["TargetPlan", "TargetStandin"]
 
 ANNOUNCE_PERIOD_S = 0.5
 CALL_TIMEOUT_S = 30.0
+MOST_KEPT = 100
 
 
 class TargetPlan(NamedTuple):
@@ -50,6 +51,7 @@
         self.total = 0
         self.cancelled = 0
         self.keys_seen = 0
+        self.timeouts_ms: list[int] = []
         self.organisations: Counter[str] = Counter()
         self._slots = asyncio.Semaphore(plan.slots)
         self._session = aiohttp.ClientSession(
@@ -100,6 +102,7 @@
             "ran": self.ran,
             "cancelled": self.cancelled,
             "keys_seen": self.keys_seen,
+            "timeouts_ms": self.timeouts_ms,
             "organisations": self.organisations,
         }
 
@@ -116,6 +119,8 @@
         if order:
             self.ran[order] += 1
         self.keys_seen += "Authorization" in req.headers
+        self.timeouts_ms.append(int(req.headers.get(TIMEOUT, "0")))
+        del self.timeouts_ms[:-MOST_KEPT]
         self.organisations[req.headers.get(ORGANISATION, "")] += 1
         async with self._slots:
             await asyncio.sleep(self.work_s)
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -158,6 +158,27 @@
         "        if False:\n",
         FLEET + "OnceTest::test_home_killed_gives_unknown_and_never_a_second_run",
     ),
+    Mutant(
+        "a run is cancelled when nobody waits",
+        "peer.py",
+        "            self._cancel(sequence)\n",
+        "",
+        FLEET + "CancelTest::test_a_caller_that_leaves_cancels_its_run",
+    ),
+    Mutant(
+        "a run with a key goes on",
+        "target_side.py",
+        "return await asyncio.shield(task)",
+        "return await task",
+        FLEET + "CancelTest::test_a_run_with_a_key_goes_on",
+    ),
+    Mutant(
+        "the deadline is carried down",
+        "caller_side.py",
+        "                    deadline=parent.deadline,\n",
+        "",
+        FLEET + "CancelTest::test_the_deadline_is_carried_down",
+    ),
     Mutant(
         "a leaving target gets no new work",
         "node.py",
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -6,10 +6,12 @@
 import io
 import ipaddress
 import json
+import socket
 import ssl
 import tempfile
 from pathlib import Path
 
+import aiohttp
 import structlog
 from aiohttp import web
 from cryptography import x509
@@ -30,6 +32,7 @@
     TargetUnreachedError,
 )
 from beryldrum.listener import Listener
+from beryldrum.metrics import Metrics
 from beryldrum.peer import Peer, PeerServer
 from beryldrum.request import Outcome, Reply
 from beryldrum.settings import Tls
@@ -288,6 +291,58 @@
         self.assertIn("one.pem", str(exc))
 
 
+class ListenerTest(TestCase):
+    """Bad input at the callers' listener."""
+
+    def ask(self, headers, body):
+        async def handler(req):
+            return Reply(Outcome.ANSWERED, 200)
+
+        async def scenario():
+            listener = Listener(handler, SystemClock(), 1_000, None, lambda *_: None)
+            where = address()
+            await listener.start(where, None)
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(f"http://{where}/a/b", headers=headers, data=body) as resp,
+            ):
+                found = resp.status, resp.headers.get("Beryldrum-Outcome")
+            await listener.close()
+            return found
+
+        return asyncio.run(scenario())
+
+    @parameterized.expand(
+        [
+            ("fits", {}, b"x" * 1_000, (200, "answered")),
+            ("body", {}, b"x" * 1_001, (413, "not-run")),
+            ("header", {"X-Large": "x" * 20_000}, b"", (400, None)),
+        ]
+    )
+    def test_size(self, _, headers, body, expected):
+        self.assertEqual(expected, self.ask(headers, body))
+
+
+class MetricsTest(TestCase):
+    """What statsd gets."""
+
+    def test_changes_only(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            sock.settimeout(10)
+            host, port = sock.getsockname()
+            metrics = Metrics(f"{host}:{port}")
+            metrics.count("retries")
+            metrics.added(0.001)
+            metrics.flush()
+            first = sock.recv(4_096).decode()
+            metrics.flush()
+            second = sock.recv(4_096).decode()
+        self.assertIn("beryldrum.retries:1|c", first)
+        self.assertIn("beryldrum.added.p99_us:", first)
+        self.assertNotIn("retries", second)
+
+
 class LogTest(TestCase):
     """Lines are written later, bounded, and hide secrets."""
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -41,7 +41,7 @@
         asyncio.run(self._check(scenario, settings))
 
     async def _check(self, scenario, settings):
-        self.fleet = fleet = Fleet(log_level="warning", **settings)
+        self.fleet = fleet = Fleet(**{"log_level": "warning", **settings})
         try:
             await self.start(fleet)
             await scenario()
@@ -258,6 +258,92 @@
         self.check(scenario)
 
 
+class CancelTest(Case):
+    """Deadlines and cancellation go down; a run ends early only when nobody waits."""
+
+    async def cancelled(self):
+        return sum([(await self.fleet.seen(host))["cancelled"] for host in PAYERS])
+
+    def test_a_caller_that_leaves_cancels_its_run(self):
+        async def scenario():
+            for host in PAYERS:
+                await self.fleet.fault(host, work_ms=20_000)
+            for host in ("sofia-1a", "sofia-1b"):
+                gone = await self.fleet.call(host, "/payments/balance", self.key, timeout_s=0.5)
+                self.assertEqual(0, gone.status)
+
+            async def both():
+                return await self.cancelled() == 2
+
+            await self.fleet.until("the runs are cancelled", both)
+
+        self.check(scenario)
+
+    def test_a_run_with_a_key_goes_on(self):
+        async def scenario():
+            for host in PAYERS:
+                await self.fleet.fault(host, work_ms=1_500)
+            key = str(uuid6.uuid7())
+            gone = await self.deposit("sofia-1a", key, "order", timeout_s=0.5)
+            self.assertEqual(0, gone.status)
+            again = await self.deposit("sofia-2a", key, "order")
+            self.assertEqual(200, again.status)
+            self.assertEqual(0, await self.cancelled())
+            self.assertEqual({"order": 1}, dict(await self.ran()))
+
+        self.check(scenario)
+
+    def test_the_deadline_is_carried_down(self):
+        async def scenario():
+            for host in PAYERS:
+                await self.fleet.fault(host, work_ms=20_000)
+            answer = await self.fleet.call(
+                "sofia-2b", "/tracker/track", self.key, headers={"Beryldrum-Timeout-Ms": "600"}
+            )
+            self.assertEqual("unknown", answer.outcome)
+
+            async def ended():
+                return await self.cancelled() >= 1
+
+            await self.fleet.until("the deep run ended", ended)
+            left = [(await self.fleet.seen(host))["timeouts_ms"] for host in PAYERS]
+            deep = [value for values in left for value in values][-1]
+            self.assertLess(deep, 600)
+
+        self.check(scenario)
+
+
+class TraceTest(Case):
+    """What operators see, and what they never see."""
+
+    def test_decisions_are_logged_and_keys_are_not(self):
+        async def scenario():
+            await self.fleet.call("sofia-1a", "/tracker/track", self.key)
+            await self.deposit("sofia-1a", str(uuid6.uuid7()), "order")
+
+            async def logged():
+                lines = self.fleet.output("node-sofia-1a").splitlines()
+                seen = [json.loads(line) for line in lines]
+                what = {line["what"] for line in seen if line["event"] == "decision"}
+                return {"route", "home", "claim", "advertise"} <= what
+
+            await self.fleet.until("decisions logged", logged)
+            for host in self.fleet.hosts:
+                self.assertNotIn(self.key, self.fleet.output(f"node-{host}"))
+
+        self.check(scenario, log_level="info")
+
+    def test_status_of_a_node(self):
+        async def scenario():
+            url = f"http://{self.fleet.hosts['sofia-1b'].egress}"
+            code, out, err = await self.fleet.command("status", "--node", url)
+            self.assertEqual(0, code, err)
+            for word in ("gate  payments", "seats  payments/", "member  ", "log up"):
+                self.assertIn(word, out)
+
+        self.check(scenario)
+
+
 class ConfigurationTest(Case):
     """The platform's outages, and operators who race."""
 
