--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -12,11 +12,13 @@
 from result import Err, Ok, Result
 
 from beryldrum import logs, request, settings
-from beryldrum.caller_side import RetryFilter, Shared
+from beryldrum.caller_side import RetryFilter
 from beryldrum.clock import Clock
 from beryldrum.gate import Admission, Gate
 from beryldrum.limit import StaticLimit
 from beryldrum.node import Node, serve
+from beryldrum.path import RequestPath
+from beryldrum.presence import Presence
 from beryldrum.request import Outcome, Reason, Reply, Request, not_run
 from beryldrum.target import Target
 
@@ -58,19 +60,29 @@
         return reply
 
 
-class Baseline(Node):
-    """A node with the baseline's decisions."""
+class PlainPresence(Presence):
+    """A target behind a plain gate; ``limited`` bounds it to its slots."""
 
-    mode = "none"
+    limited = False
 
     def make_gate(self, target: Target) -> Gate[Any]:
         """Return the plain gate."""
-        slots = target.slots if self.mode == "static" else UNLIMITED
-        return PlainGate(self.clock, slots)
+        return PlainGate(self._clock, target.slots if self.limited else UNLIMITED)
+
 
-    def make_retry(self, shared: Shared) -> RetryFilter:
+class PlainPath(RequestPath):
+    """A path with the plain retries."""
+
+    def make_retry(self) -> RetryFilter:
         """Return the plain retries."""
-        return PlainRetry(shared, self._to_node)
+        return PlainRetry(self._shared, self._to_node)
+
+
+class Baseline(Node):
+    """A node with the baseline's decisions."""
+
+    presence_class = PlainPresence
+    path_class = PlainPath
 
 
 def main() -> None:
@@ -79,7 +91,7 @@
     parser.add_argument("mode", choices=("none", "static"))
     parser.add_argument("--settings", required=True)
     args = parser.parse_args()
-    Baseline.mode = args.mode
+    PlainPresence.limited = args.mode == "static"
     cfg = settings.read(args.settings)
     logs.setup(cfg.log_level, cfg.log_format)
 
--- a/beryldrum/admin.py
+++ b/beryldrum/admin.py
@@ -78,7 +78,7 @@
         return {
             "node": node.cfg.node,
             "data_centre": node.cfg.data_centre,
-            "draining": node.draining,
+            "draining": node.presence.draining,
             "offset": fleet.offset,
             "news_age_s": round(age_s, 3) if age_s < 1e9 else None,
             "log": node.log.state,
@@ -89,14 +89,14 @@
             "seats": [f"{service}/{number}" for service, number in sorted(node.book.all())],
             "accounts": self._accounts(),
             "gate": self._gate(),
-            "ledger_keys": {s: len(ledger) for s, ledger in node.ledgers.items()},
+            "ledger_keys": {s: len(ledger) for s, ledger in node.holdings.ledgers.items()},
             "counts": dict(node.metrics.totals),
             "added_us": {"p50": node.metrics.added_us(50), "p99": node.metrics.added_us(99)},
         }
 
     def _accounts(self) -> dict[str, Any]:
         found = {}
-        for (service, organisation), account in self._node.accounts.items():
+        for (service, organisation), account in self._node.holdings.accounts.items():
             lent, borrowed = account.loans()
             found[f"{service}/{organisation}"] = {
                 "own": account.own._asdict(),
@@ -107,7 +107,7 @@
         return found
 
     def _gate(self) -> dict[str, Any] | None:
-        beside = self._node.beside
+        beside = self._node.presence.beside
         if beside is None:
             return None
         return {**beside.client.target._asdict(), **beside.gate.load()._asdict()}
--- /dev/null
+++ b/beryldrum/controllers/gossip.py
@@ -0,0 +1,113 @@
+"""Spreading adverts, direct withdrawals of keys, and that there is news."""
+
+import asyncio
+import random
+from typing import Any
+
+from .. import wire
+from ..errors import PeerLostError
+from ..fold import Fleet
+from ..keyring import Keyring
+from ..news import News
+from ..peer import Peers
+from ..roster import Advert, Roster
+from ..transit import from_advert, to_advert
+from .base import PEER_TIMEOUT_S, Controller
+
+__all__ = ["GossipController"]
+
+T = wire.types
+
+
+class GossipController(Controller):
+    """Spreads adverts, direct withdrawals of keys and the news that there is news."""
+
+    pause_s = 1.0
+    FANOUT = 2
+    ANTI_ENTROPY_EVERY = 10
+
+    def __init__(
+        self,
+        roster: Roster,
+        peers: Peers,
+        news: News,
+        keyring: Keyring,
+        seeds: tuple[str, ...],
+        wake: asyncio.Event,
+        rng: random.Random,
+    ) -> None:
+        self._roster = roster
+        self._peers = peers
+        self._news = news
+        self._keyring = keyring
+        self._seeds = [seed for seed in seeds if seed != roster.own.node]
+        self._wake = wake
+        self._rng = rng
+        self._round = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        news.changes.subscribe(self._on_change)
+
+    def _on_change(self, fleet: Fleet) -> None:
+        if fleet.offset:
+            self.spread()
+
+    def spread(self) -> None:
+        """Tell a few peers at once."""
+        task = asyncio.ensure_future(self._round_to(self._roster.partners(self.FANOUT + 1), False))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def step(self) -> None:
+        self._roster.tick()
+        self._round += 1
+        partners = self._roster.partners(self.FANOUT)
+        lonely = len(self._roster) < 3
+        if self._seeds and (lonely or self._round % self.ANTI_ENTROPY_EVERY == 1):
+            partners.append(self._rng.choice(self._seeds))
+        full = lonely or self._round % self.ANTI_ENTROPY_EVERY == 1
+        await self._round_to(partners, full)
+
+    async def _round_to(self, partners: list[str], full: bool) -> None:
+        rumours = self._roster.rumours()
+        sends = [self._send(node, rumours, full) for node in dict.fromkeys(partners)]
+        await asyncio.gather(*sends)
+
+    async def _send(self, node: str, adverts: list[Advert], full: bool) -> None:
+        try:
+            message = T.Envelope(gossip=self._message(adverts, full))
+            if not full:
+                await self._peers[node].tell(message)
+                return
+            answer = (await self._peers[node].ask(message, PEER_TIMEOUT_S)).gossip
+            self.hear(answer)
+            wanted = self._roster.differing(answer.digests)
+            if wanted:
+                await self._peers[node].tell(T.Envelope(gossip=self._message(wanted, False)))
+        except (PeerLostError, TimeoutError):
+            return
+
+    def _message(self, adverts: list[Advert], answer: bool) -> Any:
+        return T.Gossip(
+            node=self._roster.own.node,
+            offset=self._news.fleet.offset,
+            adverts=[to_advert(advert) for advert in adverts],
+            withdrawn=sorted(self._keyring.withdrawn),
+            digests=self._roster.digests() if answer else {},
+            answer=answer,
+        )
+
+    def hear(self, gossip: Any) -> None:
+        """Take up what a peer says."""
+        self._roster.learn(from_advert(advert) for advert in gossip.adverts)
+        stopped = [key_id for key_id in gossip.withdrawn if self._keyring.withdraw(key_id)]
+        if stopped:
+            self.spread()
+        if gossip.offset > self._news.fleet.offset:
+            self._wake.set()
+
+    def answer(self, gossip: Any) -> Any:
+        """Take up a gossip and return the one to send back, or None."""
+        self.hear(gossip)
+        if not gossip.answer:
+            return None
+        return self._message(self._roster.differing(gossip.digests), True)
--- /dev/null
+++ b/beryldrum/controllers/loans.py
@@ -0,0 +1,134 @@
+"""Borrowing rate and burst, and giving loans."""
+
+import asyncio
+import contextlib
+import random
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from .. import wire
+from ..clock import Clock
+from ..decisions import Decision, DecisionLog
+from ..errors import PeerLostError
+from ..news import News
+from ..peer import Peers
+from ..roster import Roster
+from ..shares import Account, Part
+from .base import PEER_TIMEOUT_S
+
+__all__ = ["LoanController"]
+
+T = wire.types
+
+
+class LoanController:
+    """Borrows rate and burst from other holders of the service's seats."""
+
+    TRIES = 6
+    REMEMBERED = 10_000
+
+    def __init__(
+        self,
+        account: Callable[[str, str], Account],
+        news: News,
+        roster: Roster,
+        peers: Peers,
+        clock: Clock,
+        rng: random.Random,
+        decisions: DecisionLog,
+    ) -> None:
+        self._account = account
+        self._news = news
+        self._roster = roster
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._decisions = decisions
+        self._asking: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self._lenders: dict[str, str] = {}
+        self._poor_until: dict[tuple[str, str, str], float] = {}
+
+    def borrow(self, service: str, organisation: str) -> "asyncio.Future[None]":
+        """Start to ask for a loan, unless that runs already; done when settled."""
+        name = (service, organisation)
+        task = self._asking.get(name)
+        if task is None:
+            task = self._asking[name] = asyncio.create_task(self._ask_all(*name))
+            task.add_done_callback(lambda _: self._asking.pop(name, None))
+        return task
+
+    async def _ask_all(self, service: str, organisation: str) -> None:
+        account = self._account(service, organisation)
+        for node in self._holders(service, organisation)[: self.TRIES]:
+            lacks = account.lacks()
+            if lacks.rate_per_s <= 0 and lacks.burst <= 0:
+                return
+            await self._ask(service, organisation, node, lacks)
+
+    def _holders(self, service: str, organisation: str) -> list[str]:
+        now = self._clock.now()
+        own = self._roster.own
+        holders = {s.node for s in self._news.fleet.seats.get(service, {}).values() if s.node}
+        able = [
+            node
+            for node in holders - {own.node}
+            if self._poor_until.get((node, service, organisation), 0.0) <= now
+        ]
+        self._rng.shuffle(able)
+        return sorted(able, key=lambda node: not self._near(node))
+
+    def _near(self, node: str) -> bool:
+        advert = self._roster.get(node)
+        return advert is not None and advert.data_centre == self._roster.own.data_centre
+
+    async def _ask(self, service: str, organisation: str, node: str, lacks: Part) -> None:
+        loan = uuid.uuid4().hex
+        asked_at = self._clock.now()
+        ask = T.LoanAsk(service, organisation, loan, lacks.rate_per_s, lacks.burst)
+        try:
+            answer = await self._peers[node].ask(T.Envelope(loan_ask=ask), PEER_TIMEOUT_S)
+        except (PeerLostError, TimeoutError):
+            self._poor_until[node, service, organisation] = asked_at + 1.0
+            return
+        grant = answer.loan_grant
+        if grant.rate_per_s <= 0 and grant.burst <= 0:
+            self._poor_until[node, service, organisation] = asked_at + 0.25
+            return
+        self._remember(loan, node)
+        account = self._account(service, organisation)
+        account.borrow(loan, Part(grant.rate_per_s, grant.burst), grant.tokens, asked_at)
+        self._decisions.note(
+            Decision("borrow", "own part used up", "", service, organisation, node)
+        )
+
+    def _remember(self, loan: str, node: str) -> None:
+        self._lenders[loan] = node
+        if len(self._lenders) > self.REMEMBERED:
+            del self._lenders[next(iter(self._lenders))]
+
+    def grant(self, ask: Any) -> Any:
+        """Return the loan that this node gives on an ask."""
+        account = self._account(ask.service_name, ask.organisation)
+        part, tokens = account.lend(ask.loan, Part(ask.rate_per_s, ask.burst))
+        return T.LoanGrant(ask.loan, part.rate_per_s, part.burst, tokens)
+
+    async def return_all(self, accounts: list[Account]) -> None:
+        """Give every loan back, for a planned stop."""
+        for account in accounts:
+            await self._tell_lenders(account.give_back())
+
+    async def return_idle(self, accounts: list[Account]) -> None:
+        """Give back the loans that are no longer needed, for others to borrow."""
+        for account in accounts:
+            if account.borrows:
+                await self._tell_lenders(account.give_back_idle())
+
+    async def _tell_lenders(self, given: list[tuple[str, float]]) -> None:
+        for loan, tokens in given:
+            node = self._lenders.get(loan)
+            if node is None:
+                continue
+            message = T.Envelope(loan_return=T.LoanReturn(loan, tokens))
+            with contextlib.suppress(PeerLostError):
+                await self._peers[node].tell(message)
--- /dev/null
+++ b/beryldrum/holdings.py
@@ -0,0 +1,78 @@
+"""What a node holds of each service: accounts of rates, and ledgers of keys."""
+
+import asyncio
+
+from .clock import Clock
+from .ledger import Ledger, seat_of
+from .news import News
+from .request import Reply
+from .seats import SeatBook
+from .settings import Settings
+from .shares import Account, Part
+
+__all__ = ["Holdings"]
+
+RunLedger = Ledger[asyncio.Task[Reply]]
+
+
+class Holdings:
+    """Accounts by service and organisation, ledgers by service."""
+
+    def __init__(self, clock: Clock, cfg: Settings, news: News, book: SeatBook) -> None:
+        self._clock = clock
+        self._cfg = cfg
+        self._news = news
+        self._book = book
+        self.accounts: dict[tuple[str, str], Account] = {}
+        self.ledgers: dict[str, RunLedger] = {}
+
+    def account(self, service: str, organisation: str) -> Account:
+        """Return this node's account of an organisation at a service."""
+        account = self.accounts.get((service, organisation))
+        if account is None:
+            account = self.accounts[service, organisation] = Account(self._clock)
+            self._set_seats(service, organisation, account)
+        return account
+
+    def refresh(self) -> None:
+        """Bring every account in line with the document and the seats held."""
+        for (service, organisation), account in self.accounts.items():
+            self._set_seats(service, organisation, account)
+
+    def _set_seats(self, service: str, organisation: str, account: Account) -> None:
+        doc = self._news.fleet.documents.get(service)
+        quota = doc.organisations.get(organisation) if doc else None
+        if doc is None or quota is None:
+            account.set_seats({})
+            return
+        part = Part(quota.rate_per_s, quota.burst).times(1 / doc.seats)
+        account.set_seats(self._book.usable(service, part))
+
+    def returned(self, loan: str, tokens: float) -> None:
+        """Take back a loan, whichever account gave it."""
+        for account in self.accounts.values():
+            account.returned(loan, tokens)
+
+    def ledger(self, service: str) -> RunLedger:
+        """Return this node's ledger of a service."""
+        ledger = self.ledgers.get(service)
+        if ledger is None:
+            ledger = self.ledgers[service] = Ledger(
+                self._clock,
+                round(self._cfg.idempotency_life_s * 1000),
+                self._cfg.clock_error_ms,
+                lambda key: self._held_since_ms(service, key),
+                self._cfg.ledger_entries,
+                self._cfg.ledger_bytes,
+            )
+        return ledger
+
+    def _held_since_ms(self, service: str, key: str) -> int | None:
+        doc = self._news.fleet.documents.get(service)
+        if doc is None:
+            return None
+        return self._book.held_since_ms(service, seat_of(service, key, doc.seats))
+
+    def holds(self, service: str, number: int) -> bool:
+        """Tell whether this node may use a seat now."""
+        return self._book.held_since_ms(service, number) is not None
--- a/beryldrum/listener.py
+++ b/beryldrum/listener.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+import structlog
 from aiohttp import web
 
 from . import request
@@ -16,10 +17,12 @@
 from .chain import Step
 from .clock import Clock
 from .peer import split
-from .request import Headers, Outcome, Reply, Request, not_run
+from .request import Headers, Outcome, Reply, Request, not_run, unknown
 
 __all__ = ["Listener", "problem"]
 
+logger = structlog.get_logger()
+
 OUTCOME = "Beryldrum-Outcome"
 REQUEST_ID = "Beryldrum-Request-Id"
 ADMIN_PREFIX = "/.beryldrum/"
@@ -119,7 +122,11 @@
         headers: Headers = tuple((name, value) for name, value in raw.headers.items())
         since = self._clock.now()
         req = blank(raw.method, raw.raw_path, headers, body, since)
-        reply = await self._step(req)
+        try:
+            reply = await self._step(req)
+        except Exception:
+            logger.critical("a fault of the node", exc_info=True)
+            reply = unknown(request.FAULT)
         self._done(req, reply, self._clock.now() - since)
         return _response(reply, req.request_id)
 
--- a/beryldrum/request.py
+++ b/beryldrum/request.py
@@ -77,6 +77,8 @@
 TIMED_OUT = Reason("timeout", 504, "it may have run, no answer came in time")
 CANCELLED = Reason("cancelled", 504, "it was cancelled and may have run")
 
+FAULT = Reason("internal", 500, "a fault of the node; it may have run")
+
 REASONS = {r.type: r for r in list(globals().values()) if isinstance(r, Reason)}
 
 
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -181,7 +181,7 @@
     ),
     Mutant(
         "a leaving target gets no new work",
-        "node.py",
+        "presence.py",
         "if target.state != READY or (doc and target.address in doc.leaving):",
         "if False:",
         FLEET + "StopTest::test_leaving_target_gets_no_new_work",
@@ -216,7 +216,7 @@
     ),
     Mutant(
         "peers hand over the configuration",
-        "controllers.py",
+        "controllers/configuration.py",
         "        if answer.image:\n            self._news.adopt(answer.image)\n",
         "        return\n",
         FLEET + "ConfigurationTest::test_a_replaced_node_learns_from_peers_while_the_log_is_away",
