--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,6 +22,7 @@
 from beryldrum import records, wire
 from beryldrum.caller_side import blank
 from beryldrum.clock import ManualClock, SystemClock
+from beryldrum.controllers import GossipController, LogController, NewsController
 from beryldrum.fold import Fleet as Fold
 from beryldrum.gate import Gate
 from beryldrum.keyring import digest_of
@@ -29,22 +30,20 @@
 from beryldrum.limit import LearntLimit
 from beryldrum.records import LogRecord
 from beryldrum.request import Outcome, Reply
-from beryldrum.roster import READY, Advert, Roster
+from beryldrum.roster import READY, RENEWAL_S, RUMOUR_SENDS, Advert, Roster
 from beryldrum.shares import Account, Part, SeatShare
 from beryldrum.transit import from_call, to_advert, to_call
 from harness.fleet import Fleet
 
 PAGE = Path(__file__).parents[1] / "docs" / "CAPACITY.md"
 BEGIN, END = "<!-- measured -->", "<!-- end -->"
-NODES, SERVICES, CENTRES, CALLS_PER_S, DEPTH = 850, 63, 9, 69_000, 18
+NODES, SERVICES, CENTRES = 850, 63, 9
 CHANGES_PER_DAY = 690
 ORGANISATIONS, KEYS, LEDGER_KEYS = 50, 500, 20_000
 DAY_S = 86_400
-GOSSIP_PARTNERS = 3
-RUMOUR_ROUNDS = 3
-RENEWAL_S = 1_800
-ASK_S = 2.55
-READERS = 5
+GOSSIP_PARTNERS = GossipController.FANOUT + 1
+ASK_S = 0.85 * NewsController.PERIOD_S
+READERS = LogController.READERS
 PACKET_B = 40
 IDLE_S = 10.0
 T = wire.types
@@ -260,7 +259,7 @@
     near = NODES / CENTRES
     empty, one = _gossip_bytes(0), _gossip_bytes(1) - _gossip_bytes(0)
     ask, answer = _news_bytes()
-    renewals = NODES / RENEWAL_S * RUMOUR_ROUNDS * GOSSIP_PARTNERS
+    renewals = NODES / RENEWAL_S * RUMOUR_SENDS * GOSSIP_PARTNERS
     asked = near / READERS / ASK_S
     return [
         ("gossip, sent and received", 2 * GOSSIP_PARTNERS, 2 * GOSSIP_PARTNERS * empty),
--- a/beryldrum/fold.py
+++ b/beryldrum/fold.py
@@ -5,6 +5,7 @@
 here reads a clock: where time matters, it is the log's own.
 """
 
+import contextlib
 from collections.abc import Iterable, Iterator
 from enum import Enum
 from typing import NamedTuple
@@ -248,12 +249,13 @@
         """Return the state in ``text``; raises RecordError."""
         try:
             image = msgspec.json.decode(text, type=_Image)
-        except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+            documents = {s: parse(kept[-1].text) for s, kept in image.versions.items()}
+        except (msgspec.DecodeError, msgspec.ValidationError, DocumentError) as exc:
             raise RecordError(f"snapshot: {exc}") from exc
         fleet = cls()
         fleet.offset = image.offset
         fleet.versions = image.versions
-        fleet.documents = {s: parse(kept[-1].text) for s, kept in image.versions.items()}
+        fleet.documents = documents
         fleet.keys = {key.digest: key for key in image.keys}
         fleet.withdrawn = dict.fromkeys(image.withdrawn)
         fleet.seats = {s: {int(n): seat for n, seat in by.items()} for s, by in image.seats.items()}
@@ -270,14 +272,13 @@
     return bool(old.evict_ms) and time_ms >= old.evict_ms + old.hold_ms
 
 
-def _snapshots(entries: Iterable[records.LogRecord]) -> Iterator[records.Snapshot]:
+def _snapshots(entries: Iterable[records.LogRecord]) -> Iterator[Fleet]:
+    """Yield the states of the snapshots; one that cannot be read is passed over."""
     for entry in entries:
-        try:
+        with contextlib.suppress(RecordError):
             record = records.decode(entry.data)
-        except RecordError:
-            continue
-        if isinstance(record, records.Snapshot):
-            yield record
+            if isinstance(record, records.Snapshot):
+                yield Fleet.restore(record.state)
 
 
 def start_from(entries: list[records.LogRecord], first: int) -> Fleet | None:
@@ -288,9 +289,9 @@
     be judged differently. Returns None when neither is to be had.
     """
     fleet = Fleet() if first <= 1 else None
-    for snapshot in _snapshots(entries):
-        if snapshot.as_of >= first - 1 and (fleet is None or first > 1):
-            fleet = Fleet.restore(snapshot.state)
+    if fleet is None:
+        reach_back = [found for found in _snapshots(entries) if found.offset >= first - 1]
+        fleet = reach_back[-1] if reach_back else None
     if fleet is None:
         return None
     for entry in entries:
--- a/beryldrum/log.py
+++ b/beryldrum/log.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 from abc import ABC, abstractmethod
 from typing import Any, NamedTuple
 
@@ -14,7 +15,13 @@
 import msgspec
 
 from . import records
-from .errors import AppendUnknownError, LogDownError, LogSilentError, LogTruncatedError
+from .errors import (
+    AppendUnknownError,
+    LogDownError,
+    LogSilentError,
+    LogTruncatedError,
+    RecordError,
+)
 
 __all__ = ["Batch", "HttpLog", "Log", "append_settled"]
 
@@ -108,8 +115,9 @@
     while True:
         batch = await log.read(after, 0)
         for entry in batch.entries:
-            if records.decode(entry.data).id == record_id:
-                return entry.offset
+            with contextlib.suppress(RecordError):
+                if records.decode(entry.data).id == record_id:
+                    return entry.offset
             after = entry.offset
         if after >= batch.head:
             return None
--- a/beryldrum/yamlfile.py
+++ b/beryldrum/yamlfile.py
@@ -69,10 +69,6 @@
         """Yield the field names present, in file order."""
         yield from self._fields
 
-    def has(self, field: str) -> bool:
-        """Tell whether ``field`` is present."""
-        return field in self._fields
-
     def _value(self, field: str, default: Any, expected: str) -> Any:
         self._taken.add(field)
         node = self._fields.get(field)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -130,6 +130,13 @@
         log = self.make()
         self.assertIsNone(start_from(log.entries[2:], 3))
 
+    @parameterized.expand([("{}",), ("",), ('{"offset": 3}',)])
+    def test_snapshot_that_cannot_be_read_is_passed_over(self, state):
+        log = self.make()
+        log.add(records.Snapshot("bad", 4, state))
+        whole, _ = folded(log)
+        self.assertEqual(whole.digest(), start_from(log.entries[1:], 2).digest())
+
     def test_restore_equals(self):
         whole, _ = folded(self.make())
         self.assertEqual(whole.digest(), Fleet.restore(whole.image()).digest())
@@ -269,6 +276,12 @@
         log.faults = faults
         self.assertRaises(expected, asyncio.run, self.settle(log))
 
+    def test_garbage_in_the_log_is_passed_over(self):
+        log = MemoryLog()
+        log.put(b"garbage")
+        log.faults = ["lost"]
+        self.assertEqual(2, asyncio.run(self.settle(log)))
+
     @staticmethod
     async def settle(log):
         async def no_pause(_):
