A request that waited for a target that was replaced is not run

Cause, by reading: where a target announced itself anew at another address while requests waited at its gate, they were handed to the new one without its gate's leave, and their end was counted there: its runs in flight fell below zero.

Before: in flight -1 at the new gate; after: not run, both gates at zero (three tests of waiting).

--- a/beryldrum/target_side.py
+++ b/beryldrum/target_side.py
@@ -111,6 +111,10 @@
             reason = await self._await(gate, slot, req)
             if reason is not None:
                 return not_run(reason, self._pause_ms(gate), req.allowance)
+        if self._beside() is not beside:
+            # Another target took the place while this request waited.
+            gate.finish(0.0, 0.0, True)
+            return not_run(request.NO_TARGET, allowance=req.allowance)
         return await step(req)
 
     async def _await(self, gate: Gate[Slot], slot: Slot, req: Request) -> Reason | None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,5 +1,6 @@
 """Shedding, queueing, limits, retries and routing, in virtual time."""
 
+import asyncio
 import statistics
 from collections import Counter
 
@@ -14,6 +15,7 @@
 from beryldrum.queue import FairQueue, Waiting
 from beryldrum.request import COHORTS, NO_LEVEL, Outcome, Reply, not_run, priority_of, unknown
 from beryldrum.retry import Allowance, Budget, may_retry
+from beryldrum.target_side import AdmitFilter, Beside, pump
 
 from .fakes import ManualClock, request, rng
 
@@ -229,6 +231,66 @@
         self.assertEqual(([], []), self.gate.ready())
 
 
+class AdmitTest(TestCase):
+    """Waiting for the gate's leave."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.beside = self.make()
+        self.ran = []
+
+    def make(self):
+        return Beside(None, Gate(self.clock, StaticLimit(1)))
+
+    async def step(self, req):
+        self.ran.append(req.request_id)
+        return WHOLE
+
+    async def waiting(self):
+        """Occupy the only place and return a task that waits for it."""
+        admit = AdmitFilter(lambda: self.beside, self.clock)
+        await admit.handle(request(deadline=60.0), self.step)
+        task = asyncio.create_task(admit.handle(request(request_id="w", deadline=60.0), self.step))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return task
+
+    def test_place_is_handed_on(self):
+        async def scenario():
+            task = await self.waiting()
+            self.beside.gate.finish(0.1, 0.1, True)
+            pump(self.beside.gate)
+            return await task
+
+        self.assertEqual(WHOLE, asyncio.run(scenario()))
+        self.assertEqual(["r", "w"], self.ran)
+
+    def test_target_replaced_meanwhile(self):
+        old = self.beside
+
+        async def scenario():
+            task = await self.waiting()
+            self.beside = self.make()
+            old.gate.finish(0.1, 0.1, True)
+            pump(old.gate)
+            return await task
+
+        self.assertIs(reasons.NO_TARGET, asyncio.run(scenario()).reason)
+        self.assertEqual(["r"], self.ran)
+        self.assertEqual([0, 0], [old.gate.in_flight, self.beside.gate.in_flight])
+
+    def test_cancelled_while_waiting_leaves_no_trace(self):
+        async def scenario():
+            task = await self.waiting()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(scenario())
+        self.assertEqual(0, len(self.beside.gate.queue))
+        self.assertEqual(["r"], self.ran)
+
+
 class LimitTest(TestCase):
     """A target with a true capacity that its announcement overstates."""
 
