--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -12,7 +12,6 @@
 from result import Err, Ok, Result
 
 from beryldrum import logs, request, settings
-from beryldrum.caller_side import RetryFilter
 from beryldrum.clock import Clock
 from beryldrum.gate import Admission, Gate
 from beryldrum.limit import StaticLimit
@@ -20,6 +19,7 @@
 from beryldrum.path import RequestPath
 from beryldrum.presence import Presence
 from beryldrum.request import Outcome, Reason, Reply, Request, not_run
+from beryldrum.routing import RetryFilter
 from beryldrum.target import Target
 
 ATTEMPTS = 3
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,9 +20,9 @@
 import psutil
 
 from beryldrum import records, wire
-from beryldrum.caller_side import blank
 from beryldrum.clock import ManualClock, SystemClock
 from beryldrum.controllers import GossipController, LogController, NewsController
+from beryldrum.entry import blank
 from beryldrum.fold import Fleet as Fold
 from beryldrum.gate import Gate
 from beryldrum.keyring import digest_of
--- a/beryldrum/listener.py
+++ b/beryldrum/listener.py
@@ -13,9 +13,9 @@
 from aiohttp import web
 
 from . import request
-from .caller_side import blank
 from .chain import Step
 from .clock import Clock
+from .entry import blank
 from .peer import split
 from .request import Headers, Outcome, Reply, Request, not_run, unknown
 
--- a/beryldrum/node.py
+++ b/beryldrum/node.py
@@ -19,7 +19,6 @@
 from . import tls, wire
 from .admin import Admin
 from .balance import Balancer
-from .caller_side import Shared
 from .chain import Step
 from .clock import Clock, SystemClock
 from .controllers import (
@@ -48,6 +47,7 @@
 from .runs import Runs
 from .seats import SeatBook
 from .settings import Settings
+from .shared import Shared
 from .target import Target
 
 __all__ = ["Node", "serve"]
--- a/beryldrum/path.py
+++ b/beryldrum/path.py
@@ -6,17 +6,9 @@
 import structlog
 
 from . import request, wire
-from .caller_side import (
-    ContextFilter,
-    HomeFilter,
-    KeyFilter,
-    PathFilter,
-    RetryFilter,
-    RouteFilter,
-    Shared,
-)
 from .chain import Step, chain
 from .controllers import LoanController
+from .entry import ContextFilter, KeyFilter, RouteFilter
 from .errors import PeerLostError
 from .holdings import Holdings
 from .mint import MintFilter
@@ -24,6 +16,8 @@
 from .presence import Presence
 from .request import Reply, Request, not_run, unknown
 from .retry import ELSEWHERE
+from .routing import HomeFilter, PathFilter, RetryFilter
+from .shared import Shared
 from .target_side import AdmitFilter, HomeStep, RateFilter, StateFilter, TargetStep
 from .transit import from_call, from_reply, to_call, to_reply
 
--- /dev/null
+++ b/beryldrum/shared.py
@@ -0,0 +1,32 @@
+"""What the filters between a caller and the nodes share."""
+
+from typing import NamedTuple
+
+from .balance import Balancer
+from .clock import Clock
+from .decisions import DecisionLog
+from .keyring import Keyring
+from .level import PathLevels
+from .metrics import Metrics
+from .news import News
+from .retry import Budget
+from .roster import Roster
+from .runs import Runs
+
+__all__ = ["Shared"]
+
+
+class Shared(NamedTuple):
+    """What the filters of a node share."""
+
+    clock: Clock
+    node: str
+    news: News
+    keyring: Keyring
+    roster: Roster
+    balancer: Balancer
+    levels: PathLevels
+    budget: Budget
+    runs: Runs
+    decisions: DecisionLog
+    metrics: Metrics
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -76,14 +76,14 @@
     ),
     Mutant(
         "no target sees the key",
-        "caller_side.py",
+        "entry.py",
         "if k.lower() != AUTHORIZATION)",
         "if k)",
         FLEET + "KeyTest::test_forged_headers_have_no_effect",
     ),
     Mutant(
         "closed routes stay closed",
-        "caller_side.py",
+        "entry.py",
         "        if not route.open:\n            return request.NOT_OPEN\n",
         "",
         FLEET + "KeyTest::test_forged_headers_have_no_effect",
@@ -174,7 +174,7 @@
     ),
     Mutant(
         "the deadline is carried down",
-        "caller_side.py",
+        "entry.py",
         "                    deadline=parent.deadline,\n",
         "",
         FLEET + "CancelTest::test_the_deadline_is_carried_down",
