Only the home of an idempotency key says not run

Cause, by reading: the repeat of a request that had run could be refused before its home was asked (shed at the entry, key withdrawn, node stopping) and was then told not-run, which invites the caller to book again under a new key.

Ruled out: asking the home before every refusal (a withdrawn key must not cause work). Now such a refusal keeps its type and status and has the outcome unknown.

Before: 401 not-run for the repeat of a deposit that had run, at each of four nodes; after: 401 unknown, and not-run as before without a key.

--- a/beryldrum/entry.py
+++ b/beryldrum/entry.py
@@ -23,7 +23,7 @@
 from .shared import Shared
 from .target import CONTEXT, TIMEOUT, forwarded
 
-__all__ = ["ContextFilter", "KeyFilter", "RouteFilter", "blank"]
+__all__ = ["ContextFilter", "KeyFilter", "RepeatFilter", "RouteFilter", "blank"]
 
 FAR_FUTURE_S = 86_400.0
 MAX_DEPTH = 64
@@ -61,6 +61,22 @@
     return ""
 
 
+class RepeatFilter(Filter):
+    """Says *not run* of a request with an idempotency key only where its home did.
+
+    The request may be the repeat of one that ran; who refuses it before its home
+    is asked knows nothing of that.
+    """
+
+    async def handle(self, req: Request, step: Step) -> Reply:
+        reply = await step(req)
+        if reply.outcome is not Outcome.NOT_RUN or reply.from_home:
+            return reply
+        if born_ms(header(req.headers, IDEMPOTENCY_KEY)) is None:
+            return reply
+        return reply._replace(outcome=Outcome.UNKNOWN)
+
+
 class KeyFilter(Filter):
     """Learns the organisation of a caller outside from its key, and takes it off."""
 
--- a/beryldrum/path.py
+++ b/beryldrum/path.py
@@ -8,7 +8,7 @@
 from . import request, wire
 from .chain import Step, chain
 from .controllers import LoanController
-from .entry import ContextFilter, KeyFilter, RouteFilter
+from .entry import ContextFilter, KeyFilter, RepeatFilter, RouteFilter
 from .errors import PeerLostError
 from .holdings import Holdings
 from .mint import MintFilter
@@ -58,12 +58,13 @@
             retry,
         ]
         entry = [
+            RepeatFilter(),
             StateFilter(presence.entry_refusal),
             KeyFilter(shared),
             MintFilter(shared.news, shared.roster, shared.balancer, holdings.holds),
         ]
         self.outside = chain([*entry, *common], _nowhere)
-        self.inside = chain([ContextFilter(shared), *common], _nowhere)
+        self.inside = chain([RepeatFilter(), ContextFilter(shared), *common], _nowhere)
 
     def make_retry(self) -> RetryFilter:
         """Return the filter that makes the attempts; a baseline makes another one."""
--- a/beryldrum/request.py
+++ b/beryldrum/request.py
@@ -109,7 +109,8 @@
 class Reply(NamedTuple):
     """The outcome of a request, with what the gate says of its load.
 
-    ``target_us`` is how long the target had it, in microseconds.
+    ``target_us`` is how long the target had it, in microseconds. ``from_home``
+    tells, at the entry, that the home of the idempotency key has spoken.
     """
 
     outcome: Outcome
@@ -124,6 +125,7 @@
     load_permille: int = 0
     path_level: int = NO_LEVEL
     target_us: int = 0
+    from_home: bool = False
 
 
 def not_run(reason: Reason, retry_after_ms: int = 0, allowance: int = 0) -> Reply:
--- a/beryldrum/routing.py
+++ b/beryldrum/routing.py
@@ -55,8 +55,9 @@
             Decision("home", "holds the seat", req.request_id, req.service, req.organisation, home)
         )
         reply = await self._to_home(home)(req)
-        # An earlier attempt with the key may have run: this is no "not run".
-        return unknown(request.HOME_AWAY) if reply.reason is request.NOT_HOME else reply
+        if reply.reason is request.NOT_HOME:
+            return unknown(request.HOME_AWAY)
+        return reply._replace(from_home=True)
 
     def _home(self, req: Request) -> str:
         fleet = self._shared.news.fleet
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -144,6 +144,13 @@
         "            return not_run(request.LOST)\n",
         FLEET + "OnceTest::test_answer_cut_in_mid_body_is_not_whole_nor_run_again",
     ),
+    Mutant(
+        "not run is said of the key, by its home",
+        "path.py",
+        "            RepeatFilter(),\n",
+        "",
+        FLEET + "KeyTest::test_withdrawn_key_stops_on_an_open_connection",
+    ),
     Mutant(
         "at most once: a repeat finds its run",
         "ledger.py",
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -98,11 +98,18 @@
 
     def test_withdrawn_key_stops_on_an_open_connection(self):
         async def scenario():
+            key = str(uuid6.uuid7())
+            self.assertEqual(200, (await self.deposit("sofia-1a", key, "order")).status)
             code, _, err = await self.fleet.command(
                 "key", "withdraw", self.key_id, "--log", self.fleet.log_url
             )
             self.assertEqual(0, code, err)
             await self.in_force(self.key, 401)
+            for host in self.fleet.hosts:
+                again = await self.deposit(host, key, "order")
+                self.assertEqual((401, "unknown"), (again.status, again.outcome))
+                fresh = await self.fleet.call(host, "/payments/balance", self.key)
+                self.assertEqual("not-run", fresh.outcome)
 
         self.check(scenario)
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -8,6 +8,7 @@
 
 from beryldrum import request as reasons
 from beryldrum.balance import Balancer
+from beryldrum.entry import RepeatFilter
 from beryldrum.ledger import Answer, Join, Ledger, Run, born_ms, seat_of
 from beryldrum.mint import MintFilter
 from beryldrum.news import News
@@ -21,6 +22,26 @@
 ERROR_MS = 500
 
 
+class RepeatTest(TestCase):
+    """Only the home of a key says that nothing ran under it."""
+
+    @parameterized.expand(
+        [
+            ("shed before its home", uuid7(1_800_000_000_000), False, Outcome.UNKNOWN),
+            ("refused by its home", uuid7(1_800_000_000_000), True, Outcome.NOT_RUN),
+            ("no key", "", False, Outcome.NOT_RUN),
+            ("a key that never can run", "x", False, Outcome.NOT_RUN),
+        ]
+    )
+    def test_outcome(self, _, key, from_home, expected):
+        async def step(req):
+            return not_run(reasons.SHED)._replace(from_home=from_home)
+
+        req = request(headers=(("Idempotency-Key", key),))
+        reply = asyncio.run(RepeatFilter().handle(req, step))
+        self.assertEqual((expected, 503), (reply.outcome, reply.status))
+
+
 class MintTest(TestCase):
     """Keys asked for have a home that can be reached."""
 
