Named constants for loans and pauses; lenders in a fixed order before the shuffle

Reading as a newcomer: bare numbers, and a set whose order differs from run to run went into a seeded shuffle.

--- a/beryldrum/controllers/loans.py
+++ b/beryldrum/controllers/loans.py
@@ -23,10 +23,17 @@
 
 
 class LoanController:
-    """Borrows rate and burst from other holders of the service's seats."""
+    """Borrows rate and burst from other holders of the service's seats.
+
+    It has no period: a task asks when a request finds the account empty. A holder
+    that did not answer is left alone for ``AWAY_S`` seconds, one that had nothing
+    to lend for ``POOR_S``.
+    """
 
     TRIES = 6
     REMEMBERED = 10_000
+    AWAY_S = 1.0
+    POOR_S = 0.25
 
     def __init__(
         self,
@@ -72,7 +79,7 @@
         holders = {s.node for s in self._news.fleet.seats.get(service, {}).values() if s.node}
         able = [
             node
-            for node in holders - {own.node}
+            for node in sorted(holders - {own.node})
             if self._poor_until.get((node, service, organisation), 0.0) <= now
         ]
         self._rng.shuffle(able)
@@ -89,11 +96,11 @@
         try:
             answer = await self._peers[node].ask(T.Envelope(loan_ask=ask), PEER_TIMEOUT_S)
         except (PeerLostError, TimeoutError):
-            self._poor_until[node, service, organisation] = asked_at + 1.0
+            self._poor_until[node, service, organisation] = asked_at + self.AWAY_S
             return
         grant = answer.loan_grant
         if grant.rate_per_s <= 0 and grant.burst <= 0:
-            self._poor_until[node, service, organisation] = asked_at + 0.25
+            self._poor_until[node, service, organisation] = asked_at + self.POOR_S
             return
         self._remember(loan, node)
         account = self._account(service, organisation)
--- a/beryldrum/target_side.py
+++ b/beryldrum/target_side.py
@@ -27,6 +27,8 @@
 Slot = asyncio.Future[Reason | None]
 SHEDDING = frozenset((429, 503))
 RATE_WAIT_S = 0.05
+PAUSE_MS = 100
+PAUSE_PER_QUEUED_MS = 20
 
 
 class Beside(NamedTuple):
@@ -133,7 +135,7 @@
 
     @staticmethod
     def _pause_ms(gate: Gate[Slot]) -> int:
-        return 100 + 20 * len(gate.queue)
+        return PAUSE_MS + PAUSE_PER_QUEUED_MS * len(gate.queue)
 
 
 def pump(gate: Gate[Slot]) -> None:
