--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from . import latency, overload, rates, retries
+from . import latency, overload, rates, retries, spread
 
 
 def main() -> None:
@@ -10,6 +10,7 @@
     retries.main()
     rates.main()
     asyncio.run(latency.main())
+    asyncio.run(spread.main())
     asyncio.run(overload.main())
 
 
