Not run is said of all attempts, not of the last one

Cause, by reading: an idempotent request whose first attempt lost its answer and whose second was shed was told not-run, though the first may have run.

Before: NOT_RUN after (lost, shed); after: UNKNOWN with the last reason.

--- a/beryldrum/routing.py
+++ b/beryldrum/routing.py
@@ -7,7 +7,7 @@
 from .chain import Filter, Step
 from .decisions import Decision
 from .ledger import seat_of
-from .request import NO_LEVEL, Reply, Request, not_run, unknown
+from .request import NO_LEVEL, Outcome, Reply, Request, not_run, unknown
 from .retry import may_retry
 from .shared import Shared
 
@@ -79,6 +79,7 @@
         tried: frozenset[str] = frozenset()
         left = req.allowance
         rate_tries = 0
+        may_have_run = False
         reply = not_run(request.NO_TARGET, allowance=left)
         for attempt in range(1, MOST_ATTEMPTS):
             choice = self._choose(req, tried)
@@ -89,6 +90,7 @@
             part = req._replace(allowance=left)
             reply = await self._to_node(choice.node)(part)
             left = min(left, reply.allowance)
+            may_have_run = may_have_run or reply.outcome is Outcome.UNKNOWN
             if reply.reason is request.OVER_RATE and req.depth == 0:
                 rate_tries += 1
                 if rate_tries >= RATE_TRIES or not self._others(req, tried):
@@ -100,6 +102,9 @@
                 break
             left -= 1
             self._shared.metrics.count("retries")
+        if may_have_run and reply.outcome is Outcome.NOT_RUN:
+            # True of the last attempt, but not of the request.
+            reply = reply._replace(outcome=Outcome.UNKNOWN)
         return reply._replace(allowance=left)
 
     def _candidates(self, req: Request) -> list[Candidate]:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -151,6 +151,13 @@
         "",
         FLEET + "KeyTest::test_withdrawn_key_stops_on_an_open_connection",
     ),
+    Mutant(
+        "not run is said of all attempts",
+        "routing.py",
+        "if may_have_run and reply",
+        "if False and reply",
+        "tests/test_routing.py",
+    ),
     Mutant(
         "at most once: a repeat finds its run",
         "ledger.py",
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,97 @@
+"""The attempts of a request, and what is said of all of them together."""
+
+import asyncio
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum import request as reasons
+from beryldrum.balance import Balancer
+from beryldrum.decisions import DecisionLog
+from beryldrum.keyring import Keyring
+from beryldrum.level import PathLevels
+from beryldrum.metrics import Metrics
+from beryldrum.news import News
+from beryldrum.request import Outcome, Reply, not_run, unknown
+from beryldrum.retry import Budget
+from beryldrum.roster import READY, Advert, Roster
+from beryldrum.routing import RetryFilter
+from beryldrum.runs import Runs
+from beryldrum.shared import Shared
+
+from .fakes import ManualClock, MemoryLog, publish, request, rng
+
+WHOLE = Reply(Outcome.ANSWERED, 200)
+LOST = unknown(reasons.LOST)
+UNREACHED = not_run(reasons.UNREACHED)
+SHED = not_run(reasons.SHED)
+LEAVING = not_run(reasons.LEAVING)
+OVER_RATE = not_run(reasons.OVER_RATE)
+
+
+class RetryTest(TestCase):
+    """Three targets; each attempt goes to one that was not tried."""
+
+    def shared(self):
+        clock = ManualClock(100.0)
+        news = News(clock)
+        log = MemoryLog()
+        log.add(publish())
+        news.apply(log.entries)
+        adverts = [Advert(n, "1", clock.wall_ms(), "one", "payments", n, READY, 8) for n in "abc"]
+        roster = Roster(clock, rng(), adverts[0])
+        roster.learn(adverts[1:])
+        return Shared(
+            clock,
+            "x",
+            news,
+            Keyring(clock, 60.0),
+            roster,
+            Balancer(clock, rng(), "one"),
+            PathLevels(clock, rng()),
+            Budget(),
+            Runs(clock),
+            DecisionLog(None),
+            Metrics(),
+        )
+
+    def attempts(self, replies, **changes):
+        """Return the final reply and the nodes tried."""
+        left = list(replies)
+        tried = []
+
+        def to_node(node):
+            async def step(req):
+                tried.append(node)
+                return left.pop(0)._replace(allowance=req.allowance)
+
+            return step
+
+        req = request(deadline=1e9, **changes)
+        reply = asyncio.run(RetryFilter(self.shared(), to_node).handle(req, None))
+        self.assertEqual(len(set(tried)), len(tried))
+        return reply, tried
+
+    @parameterized.expand(
+        [
+            ("answered", [WHOLE], True, 3, Outcome.ANSWERED, 1),
+            ("elsewhere", [LEAVING, WHOLE], False, 3, Outcome.ANSWERED, 2),
+            ("not reached", [UNREACHED, UNREACHED, WHOLE], False, 3, Outcome.ANSWERED, 3),
+            ("nobody left", [UNREACHED] * 3, False, 9, Outcome.NOT_RUN, 3),
+            ("no allowance", [UNREACHED, WHOLE], True, 0, Outcome.NOT_RUN, 1),
+            ("overload", [SHED, WHOLE], True, 3, Outcome.NOT_RUN, 1),
+            ("rate, one more", [OVER_RATE, WHOLE], True, 0, Outcome.ANSWERED, 2),
+            ("rate, no third", [OVER_RATE, OVER_RATE, WHOLE], True, 9, Outcome.NOT_RUN, 2),
+            ("lost, not idempotent", [LOST, WHOLE], False, 3, Outcome.UNKNOWN, 1),
+            ("lost, idempotent", [LOST, WHOLE], True, 3, Outcome.ANSWERED, 2),
+            ("lost, then shed", [LOST, SHED], True, 3, Outcome.UNKNOWN, 2),
+            ("lost, then not reached", [LOST, UNREACHED], True, 1, Outcome.UNKNOWN, 2),
+        ]
+    )
+    def test_outcome(self, _, replies, idempotent, allowance, outcome, count):
+        reply, tried = self.attempts(replies, idempotent=idempotent, allowance=allowance)
+        self.assertEqual((outcome, count), (reply.outcome, len(tried)))
+
+    def test_allowance_is_spent_and_the_rest_comes_back(self):
+        reply, _ = self.attempts([UNREACHED, WHOLE], allowance=3)
+        self.assertEqual(2, reply.allowance)
