A path is judged as the target reads it

Cause, by reading: /deposit/../audit matched the open route /deposit, and the HTTP client resolved the dots, so the target was asked for the closed route. The client also rewrote encoded characters in every path.

Ruled out: resolving before matching, as targets differ in what they resolve (encoded once, twice, backslashes). Such paths have no route; all others are passed on as they came.

Before: 3 of 3 paths changed on their way, 6 of 6 climbing paths admitted; after: none.

--- a/beryldrum/entry.py
+++ b/beryldrum/entry.py
@@ -4,7 +4,9 @@
 is known by its key, a target by the context of the run that it is working on.
 """
 
+import re
 import uuid
+from urllib.parse import unquote
 
 from . import request
 from .chain import Filter, Step
@@ -61,6 +63,14 @@
     return ""
 
 
+def climbs(path: str) -> bool:
+    """Tell whether a path has dot segments, plain or encoded.
+
+    A target may resolve them, and so be asked for another route than was judged.
+    """
+    return not {".", ".."}.isdisjoint(re.split(r"[/\\]", unquote(unquote(path))))
+
+
 class RepeatFilter(Filter):
     """Says *not run* of a request with an idempotency key only where its home did.
 
@@ -138,8 +148,9 @@
 
     async def handle(self, req: Request, step: Step) -> Reply:
         doc = self._shared.news.fleet.documents.get(req.service)
-        route = doc.route(req.method, req.path.partition("?")[0]) if doc else None
-        if doc is None or route is None:
+        path = req.path.partition("?")[0]
+        route = doc.route(req.method, path) if doc else None
+        if doc is None or route is None or climbs(path):
             return not_run(request.NO_ROUTE)
         refusal = self._refusal(req, doc, route)
         if refusal is not None:
--- a/beryldrum/target.py
+++ b/beryldrum/target.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from aiohttp import hdrs
+from yarl import URL
 
 from .errors import TargetLostError, TargetUnreachedError
 from .request import Headers, Request
@@ -108,7 +109,8 @@
         try:
             async with self._session.request(
                 req.method,
-                self._base + req.path,
+                # Encoded: the library would tidy the path up into another one.
+                URL(self._base + req.path, encoded=True),
                 headers=headers,
                 data=req.body or None,
                 allow_redirects=False,
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -81,6 +81,13 @@
         "if k)",
         FLEET + "KeyTest::test_forged_headers_have_no_effect",
     ),
+    Mutant(
+        "a path is judged as the target reads it",
+        "entry.py",
+        " or climbs(path):",
+        ":",
+        "tests/test_routing.py",
+    ),
     Mutant(
         "closed routes stay closed",
         "entry.py",
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -107,6 +107,17 @@
 
         self.assertRaises(TargetLostError, self.ask, handler)
 
+    @parameterized.expand([("/a%2Fb%20c?q=%7Ex",), ("/a/../b",), ("/%7ea?x=a+b&y=%2B",)])
+    def test_path_is_passed_on_as_it_came(self, path):
+        seen = []
+
+        async def handler(req):
+            seen.append(req.raw_path)
+            return web.Response()
+
+        self.ask(handler, path=path)
+        self.assertEqual(path, seen[-1])
+
     def test_nobody_there(self):
         client_of = Target("payments", address(), 4, 4, "ready")
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,6 +8,7 @@
 from beryldrum import request as reasons
 from beryldrum.balance import Balancer
 from beryldrum.decisions import DecisionLog
+from beryldrum.entry import RouteFilter
 from beryldrum.keyring import Keyring
 from beryldrum.level import PathLevels
 from beryldrum.metrics import Metrics
@@ -29,8 +30,8 @@
 OVER_RATE = not_run(reasons.OVER_RATE)
 
 
-class RetryTest(TestCase):
-    """Three targets; each attempt goes to one that was not tried."""
+class SharedCase(TestCase):
+    """What the filters share, with three targets of payments."""
 
     def shared(self):
         clock = ManualClock(100.0)
@@ -55,6 +56,35 @@
             Metrics(),
         )
 
+
+class RouteTest(SharedCase):
+    """Which route a path is judged by."""
+
+    @parameterized.expand(
+        [
+            ("/deposit", Outcome.ANSWERED),
+            ("/deposit/a..b/.c", Outcome.ANSWERED),
+            ("/deposit/x%20y?back=../audit", Outcome.ANSWERED),
+            ("/deposit/../audit", Outcome.NOT_RUN),
+            ("/deposit/./audit", Outcome.NOT_RUN),
+            ("/deposit/%2e%2E/audit", Outcome.NOT_RUN),
+            ("/deposit/..%2faudit", Outcome.NOT_RUN),
+            ("/deposit/%252e%252e/audit", Outcome.NOT_RUN),
+            ("/deposit/..\\audit", Outcome.NOT_RUN),
+            ("/audit", Outcome.NOT_RUN),
+        ]
+    )
+    def test_path(self, path, expected):
+        async def step(req):
+            return WHOLE
+
+        reply = asyncio.run(RouteFilter(self.shared()).handle(request(path=path), step))
+        self.assertEqual(expected, reply.outcome)
+
+
+class RetryTest(SharedCase):
+    """Each attempt goes to a target that was not tried."""
+
     def attempts(self, replies, **changes):
         """Return the final reply and the nodes tried."""
         left = list(replies)
