Answers of the log are checked by type; a 503 to an append is unknown

Cause, by reading: JSON of another shape from the log raised KeyError, which ends the node by design (a controller that fails), and a 503 to an append was taken for a proof that nothing was accepted, while an answer can be lost after taking effect by whatever stands before the log.

Before: KeyError; after: silent, truncated or unknown, twelve tests.

--- a/beryldrum/log.py
+++ b/beryldrum/log.py
@@ -6,10 +6,9 @@
 """
 
 import asyncio
-import base64
 import contextlib
 from abc import ABC, abstractmethod
-from typing import Any, NamedTuple
+from typing import NamedTuple, TypedDict
 
 import aiohttp
 import msgspec
@@ -39,6 +38,26 @@
     head: int
 
 
+class _Records(TypedDict):
+    """The log's answer to a read; the bytes travel as base64."""
+
+    records: list[tuple[int, int, bytes]]
+    first: int
+    head: int
+
+
+class _Truncated(TypedDict):
+    """The log's answer to a read before its oldest record."""
+
+    first: int
+
+
+class _Appended(TypedDict):
+    """The log's answer to an append."""
+
+    offset: int
+
+
 class Log(ABC):
     """An append-only log with offsets that start at 1."""
 
@@ -83,14 +102,11 @@
             raise LogDownError("the log says that it is down")
         if status not in (200, 410):
             raise LogSilentError(f"status {status}")
-        answer = msgspec.json.decode(body, type=dict[str, Any])
         if status == 410:
-            raise LogTruncatedError(int(answer["first"]))
-        entries = [
-            records.LogRecord(int(row[0]), int(row[1]), base64.b64decode(row[2]))
-            for row in answer["records"]
-        ]
-        return Batch(entries, int(answer["first"]), int(answer["head"]))
+            raise LogTruncatedError(msgspec.json.decode(body, type=_Truncated)["first"])
+        answer = msgspec.json.decode(body, type=_Records)
+        entries = [records.LogRecord(*row) for row in answer["records"]]
+        return Batch(entries, answer["first"], answer["head"])
 
     async def append(self, data: bytes) -> int:
         timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S)
@@ -103,11 +119,15 @@
             raise LogDownError("no connection to the log") from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise AppendUnknownError(type(exc).__name__) from exc
-        if resp.status in (429, 503):
-            raise LogDownError(f"status {resp.status}")
+        if resp.status == 429:
+            raise LogDownError("too many appends")
         if resp.status != 200:
+            # A 503 too: what stands before the log may answer so after it took effect.
             raise AppendUnknownError(f"status {resp.status}")
-        return int(msgspec.json.decode(body, type=dict[str, Any])["offset"])
+        try:
+            return msgspec.json.decode(body, type=_Appended)["offset"]
+        except msgspec.DecodeError as exc:
+            raise AppendUnknownError(str(exc)) from exc
 
 
 async def find(log: Log, after: int, record_id: str) -> int | None:
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -25,15 +25,21 @@
 from beryldrum.decisions import Decision, DecisionLog
 from beryldrum.document import parse
 from beryldrum.errors import (
+    AppendUnknownError,
     CertificateError,
     FrameError,
+    LogDownError,
+    LogSilentError,
+    LogTruncatedError,
     PeerLostError,
     TargetLostError,
     TargetUnreachedError,
 )
 from beryldrum.listener import Listener
+from beryldrum.log import Batch, HttpLog
 from beryldrum.metrics import Metrics
 from beryldrum.peer import Peer, PeerServer
+from beryldrum.records import LogRecord
 from beryldrum.request import Outcome, Reply
 from beryldrum.settings import Tls
 from beryldrum.target import Target, TargetClient, forwarded
@@ -141,6 +147,57 @@
         self.assertEqual((("X-Kept", "1"),), forwarded(headers))
 
 
+class LogClientTest(TestCase):
+    """What the platform's log may answer, and what is made of it."""
+
+    def ask(self, status, body, work):
+        async def handler(_):
+            return web.Response(status=status, body=body)
+
+        async def scenario():
+            port = free_port()
+            server = await asyncio.get_running_loop().create_server(
+                web.Server(handler), "127.0.0.1", port
+            )
+            async with aiohttp.ClientSession() as session:
+                try:
+                    return await work(HttpLog(f"http://127.0.0.1:{port}", session))
+                finally:
+                    server.close()
+
+        return asyncio.run(scenario())
+
+    @parameterized.expand(
+        [
+            (503, b"", LogDownError),
+            (500, b"", LogSilentError),
+            (410, b'{"first": 7}', LogTruncatedError),
+            (410, b"{}", LogSilentError),
+            (200, b"<html>", LogSilentError),
+            (200, b'{"records": []}', LogSilentError),
+            (200, b'{"records": [[1, 2, "?"]], "first": 1, "head": 1}', LogSilentError),
+        ]
+    )
+    def test_read(self, status, body, expected):
+        self.assertRaises(expected, self.ask, status, body, lambda log: log.read(0, 0))
+
+    @parameterized.expand(
+        [
+            (429, b"", LogDownError),
+            (503, b"", AppendUnknownError),
+            (200, b"<html>", AppendUnknownError),
+            (200, b"{}", AppendUnknownError),
+        ]
+    )
+    def test_append(self, status, body, expected):
+        self.assertRaises(expected, self.ask, status, body, lambda log: log.append(b"{}"))
+
+    def test_good(self):
+        body = b'{"records": [[3, 9, "YWI="]], "first": 1, "head": 3}'
+        batch = self.ask(200, body, lambda log: log.read(0, 0))
+        self.assertEqual(Batch([LogRecord(3, 9, b"ab")], 1, 3), batch)
+
+
 class PeerTest(TestCase):
     """Responses are matched, and what was sent is known."""
 
