Edge tests by what they are the edge of; seats named as seats in decision lines

Reading as a newcomer: one file held HTTP, frames, TLS, logs and the command line, and a seat's number stood in a decision's request_id.

--- a/beryldrum/controllers/seats.py
+++ b/beryldrum/controllers/seats.py
@@ -138,5 +138,4 @@
         await self._append(records.Evict(uuid.uuid4().hex, node, False))
 
     def _note(self, what: str, why: str, service: str, number: int) -> None:
-        place = f"seat {number}"
-        self._decisions.note(Decision(what, why, request_id=place, service=service))
+        self._decisions.note(Decision(what, why, service=service, seat=str(number)))
--- a/beryldrum/decisions.py
+++ b/beryldrum/decisions.py
@@ -26,6 +26,7 @@
     organisation: str = ""
     node: str = ""
     attempt: int = 0
+    seat: str = ""
 
 
 class DecisionLog:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -142,7 +142,7 @@
         "peer.py",
         "fut = self._waiting.pop(envelope.sequence, None)",
         "fut = self._waiting.pop(next(iter(self._waiting), 0), None)",
-        "tests/test_edges.py::PeerTest",
+        "tests/test_wire.py::PeerTest",
     ),
     Mutant(
         "not run is true",
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,189 @@
+"""Frames between nodes, and TLS."""
+
+import asyncio
+import contextlib
+import datetime
+import ipaddress
+import ssl
+import tempfile
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum import tls, wire
+from beryldrum.clock import SystemClock
+from beryldrum.errors import (
+    CertificateError,
+    FrameError,
+    PeerLostError,
+)
+from beryldrum.listener import Listener
+from beryldrum.peer import Peer, PeerServer
+from beryldrum.request import Outcome, Reply
+from beryldrum.settings import Tls
+from harness.fleet import address
+
+
+class PeerTest(TestCase):
+    """Responses are matched, and what was sent is known."""
+
+    def test_crossed_and_late_responses(self):
+        async def handler(envelope):
+            await asyncio.sleep(envelope.news_ask.after / 1_000)
+            return wire.types.Envelope(news=wire.types.News(offset=envelope.news_ask.after))
+
+        async def ask(peer, after, timeout_s=5.0):
+            envelope = wire.types.Envelope(news_ask=wire.types.NewsAsk(after=after))
+            return (await peer.ask(envelope, timeout_s)).news.offset
+
+        async def scenario():
+            server = PeerServer(handler)
+            where = address()
+            await server.start(where)
+            peer = Peer(where)
+            waits = [50, 10, 30, 0]
+            found = await asyncio.gather(*(ask(peer, wait) for wait in waits))
+            with contextlib.suppress(TimeoutError):
+                await ask(peer, 100, 0.01)
+            after = await ask(peer, 1)
+            await peer.close()
+            await server.close()
+            return found, after
+
+        self.assertEqual(([50, 10, 30, 0], 1), asyncio.run(scenario()))
+
+    def test_nothing_was_sent(self):
+        peer = Peer(address())
+        envelope = wire.types.Envelope(news_ask=wire.types.NewsAsk(after=0))
+        exc = self.assertRaises(PeerLostError, asyncio.run, peer.ask(envelope, 1.0))
+        self.assertFalse(exc.sent)
+
+    @parameterized.expand([(b"\xff\xff\xff\xff",), (b"\x00\x00\x00\x03abc",)])
+    def test_garbage_ends_the_connection_only(self, data):
+        async def scenario():
+            server = PeerServer(lambda _: None)
+            where = address()
+            await server.start(where)
+            host, port = where.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            rest = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            await server.close()
+            return rest
+
+        self.assertEqual(b"", asyncio.run(scenario()))
+
+    def test_frame_too_large(self):
+        call = wire.types.Call(body=b"x" * (wire.MAX_FRAME + 1))
+        self.assertRaises(FrameError, wire.encode, wire.types.Envelope(call=call))
+
+
+def certificate(folder, name, days=1):
+    """Write a self-signed certificate for loopback and return its files."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
+    now = datetime.datetime.now(datetime.UTC)
+    built = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=2))
+        .not_valid_after(now + datetime.timedelta(days=days))
+        .add_extension(
+            x509.SubjectAlternativeName([x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]),
+            False,
+        )
+        .add_extension(x509.BasicConstraints(True, None), True)
+        .sign(key, hashes.SHA256())
+    )
+    cert, secret = folder / f"{name}.pem", folder / f"{name}.key"
+    cert.write_bytes(built.public_bytes(serialization.Encoding.PEM))
+    secret.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return str(cert), str(secret)
+
+
+class TlsTest(TestCase):
+    """Certificates between nodes."""
+
+    def setUp(self):
+        super().setUp()
+        self.folder = Path(tempfile.mkdtemp())
+
+    def ask(self, server_tls, client_tls):
+        async def handler(_):
+            return wire.types.Envelope(news=wire.types.News(offset=5))
+
+        async def scenario():
+            server = PeerServer(handler)
+            where = address()
+            await server.start(where, tls.server_context(server_tls))
+            peer = Peer(where, tls.client_context(client_tls))
+            envelope = wire.types.Envelope(news_ask=wire.types.NewsAsk(after=0))
+            try:
+                return (await peer.ask(envelope, 5.0)).news.offset
+            finally:
+                await peer.close()
+                await server.close()
+
+        return asyncio.run(scenario())
+
+    def test_both_sides_known(self):
+        cert, key = certificate(self.folder, "fleet")
+        both = Tls(cert, key, cert)
+        self.assertEqual(5, self.ask(both, both))
+
+    @parameterized.expand([("stranger", 1), ("expired", -1)])
+    def test_refused(self, name, days):
+        cert, key = certificate(self.folder, "fleet")
+        other, other_key = certificate(self.folder, name, days)
+        if name == "expired":
+            server = client = Tls(other, other_key, other)
+        else:
+            server, client = Tls(cert, key, cert), Tls(other, other_key, other)
+        self.assertRaises(PeerLostError, self.ask, server, client)
+
+    def test_reload_serves_callers_the_new_certificate(self):
+        async def handler(req):
+            return Reply(Outcome.ANSWERED, 200)
+
+        async def shown(where):
+            host, port = where.split(":")
+            context = ssl.create_default_context()
+            context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+            _, writer = await asyncio.open_connection(host, int(port), ssl=context)
+            found = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
+            writer.close()
+            return x509.load_der_x509_certificate(found).subject.rfc4514_string()
+
+        async def scenario():
+            cfg = Tls(*certificate(self.folder, "old"))
+            context = tls.server_context(cfg)
+            listener = Listener(handler, SystemClock(), 1_000, None, lambda *_: None)
+            where = address()
+            await listener.start(where, context)
+            before = await shown(where)
+            tls.reload(context, Tls(*certificate(self.folder, "new")))
+            after = await shown(where)
+            await listener.close()
+            return before, after
+
+        self.assertEqual(("CN=old", "CN=new"), asyncio.run(scenario()))
+
+    def test_wrong_key_is_told(self):
+        cert, _ = certificate(self.folder, "one")
+        _, key = certificate(self.folder, "two")
+        exc = self.assertRaises(CertificateError, tls.server_context, Tls(cert, key))
+        self.assertIn("one.pem", str(exc))
