--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -31,6 +31,7 @@
 
 FLEET = "tests/test_fleet.py::"
 OVERLOAD = "tests/test_overload.py::"
+GATE = "tests/test_gate.py::"
 MUTANTS = (
     Mutant(
         "retries stay bounded end to end",
@@ -58,21 +59,21 @@
         "queue.py",
         "min(self.waiting, key=lambda name: self.finish[name])",
         "next(iter(self.waiting))",
-        OVERLOAD + "QueueTest",
+        GATE + "QueueTest",
     ),
     Mutant(
         "what expired is never started",
         "gate.py",
         "            if not self._finishes(now, entry.deadline):\n",
         "            if False:\n",
-        OVERLOAD + "GateTest",
+        GATE + "GateTest",
     ),
     Mutant(
         "the limit is learnt",
         "limit.py",
         "        return int(self._limit)\n",
         "        return self._slots\n",
-        OVERLOAD + "LimitTest",
+        GATE + "LimitTest",
     ),
     Mutant(
         "no target sees the key",
