Planned stop with fifteen requests again, most of them queued

Cause: the test had been narrowed to three without a trace. Traced: the same 15 requests of 3 s without any stop gave 4 answers at 3 s, 4 at 6 s and 7 times 504 at 8 s, the route's deadline behind a cold limit of two. So the stop cut none.

Now on a route that allows 300 s: all 15 answered through SIGTERM twice, exit 0; with the wait for running requests switched off it fails as it must.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -490,8 +490,9 @@
             for host in PAYERS:
                 await self.fleet.fault(host, work_ms=3_000)
             asks = [
-                asyncio.create_task(self.fleet.call(host, "/payments/balance", self.key))
+                asyncio.create_task(self.fleet.call(host, "/payments/history", self.key))
                 for host in ("sofia-1a", "sofia-1b", "sofia-2a")
+                for _ in range(5)
             ]
             await asyncio.sleep(0.5)
             self.fleet.signal("node-sofia-1b", signal.SIGTERM)
