--- a/beryldrum/entry.py
+++ b/beryldrum/entry.py
@@ -29,7 +29,6 @@
 
 FAR_FUTURE_S = 86_400.0
 MAX_DEPTH = 64
-LOWEST = 3
 AUTHORIZATION = "authorization"
 IDEMPOTENCY_KEY = "idempotency-key"
 
--- a/beryldrum/logs.py
+++ b/beryldrum/logs.py
@@ -1,9 +1,9 @@
-"""Structured logs on standard error."""
+"""Structured logs, on standard error unless another stream is given."""
 
 import logging
 import sys
 from collections.abc import MutableMapping
-from typing import Any
+from typing import Any, TextIO
 
 import msgspec
 import structlog
@@ -24,7 +24,7 @@
     return msgspec.json.encode(event, enc_hook=repr).decode()
 
 
-def setup(level: str, style: str) -> None:
+def setup(level: str, style: str, stream: TextIO | None = None) -> None:
     """Configure the log: ``level`` by name, ``style`` json or console."""
     render: Any = structlog.processors.JSONRenderer(_dumps)
     if style == "console":
@@ -40,5 +40,5 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
     )
--- /dev/null
+++ b/beryldrum/mesh/entry.py
@@ -0,0 +1,367 @@
+"""The entry: where a request from a caller or a target on this host begins.
+
+A request passes a chain of checks, each of which may refuse it, and then the
+attempts. What is refused here has touched no target.
+"""
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from .. import request
+from ..clock import Clock
+from ..errors import PeerLostError
+from ..request import COHORTS, LOWEST, Outcome, Reason, priority_of
+from ..retry import Budget
+from .conventions import Asked, Conventions
+from .directory import Directory, Peer
+from .document import FleetDocument, Limits, Organisation, Route
+from .explain import Explainer
+from .frames import Load, Reply, Run
+from .gate import CALL_PRIORITY
+from .http import SINGLE, HttpService, Incoming, Outgoing
+from .news import FleetNews
+from .placement import Placement
+from .quota import Quotas
+from .split import Splitter
+from .work import Work, not_run, reason_of, unknown
+
+__all__ = ["Attempts", "Check", "Entry", "KeyCheck", "LevelCheck", "Pending", "RateCheck"]
+
+NEGATIVE_AGE_S = 2.0
+"""A key or route that is not in a document proved longer ago may be in a newer one."""
+
+GATES_TRIED = 4
+"""Gates that are asked for one request; a gate's refusal costs its target nothing."""
+
+LAST_MS = 15
+"""Time left below which an attempt cannot reach a target and come back."""
+
+RETRY_SOON_MS = 200
+"""Pause told where the cause is expected to pass within some hundred ms."""
+
+MOST_PAUSE_MS = 2_000
+"""Longest pause that is told."""
+
+
+class Pending(NamedTuple):
+    """A request as the checks see it; ``organisation`` None before its key is checked."""
+
+    asked: Asked
+    route: Route
+    priority: int
+    organisation: Organisation | None
+    now: float
+
+
+class Refused(NamedTuple):
+    """Why a check refuses a request, and the pause to tell its caller."""
+
+    reason: Reason
+    retry_after_ms: int = 0
+
+
+class Check(ABC):
+    """One decision at the entry. ``check`` returns the request, changed or not, or why not."""
+
+    @abstractmethod
+    def check(self, pending: Pending, doc: FleetDocument) -> Pending | Refused:
+        """Decide on a request."""
+
+
+class KeyCheck(Check):
+    """Learns the organisation from the key, where a key is asked for.
+
+    A key that was withdrawn must stop working everywhere, so without recent proof
+    that it is in force nothing runs for it.
+    """
+
+    def __init__(self, news: FleetNews, proof_s: float) -> None:
+        self._news = news
+        self._proof_s = proof_s
+
+    def check(self, pending: Pending, doc: FleetDocument) -> Pending | Refused:
+        if pending.route.open or not doc.keyed:
+            return pending
+        age_s = self._news.age_s()
+        if age_s > self._proof_s:
+            return Refused(request.KEYS_STALE, RETRY_SOON_MS)
+        org = doc.organisations.get(pending.asked.key)
+        if org is None:
+            if age_s > NEGATIVE_AGE_S:
+                return Refused(request.KEYS_STALE, RETRY_SOON_MS)
+            return Refused(request.BAD_KEY if pending.asked.key else request.NO_KEY)
+        rank = pending.route.priority if org.priority is None else org.priority
+        return pending._replace(
+            organisation=org, priority=priority_at(rank, pending.asked.request_id)
+        )
+
+
+class LevelCheck(Check):
+    """Refuses whole requests that a target on their way would have no room for.
+
+    The load it answers: a service deep in the call graph is full. ``level`` returns
+    the admission level over all services that a route's requests come to.
+    """
+
+    def __init__(self, level: Callable[[Route], int], pause_ms: Callable[[int], int]) -> None:
+        self._level = level
+        self._pause_ms = pause_ms
+
+    def check(self, pending: Pending, doc: FleetDocument) -> Pending | Refused:
+        if pending.priority < COHORTS or pending.priority < self._level(pending.route):
+            return pending
+        return Refused(request.SHED, self._pause_ms(pending.priority))
+
+
+class RateCheck(Check):
+    """Holds an organisation to this node's part of its rate."""
+
+    def __init__(self, quotas: Quotas) -> None:
+        self._quotas = quotas
+
+    def check(self, pending: Pending, doc: FleetDocument) -> Pending | Refused:
+        org = pending.organisation
+        if org is None or self._quotas.take(org.name):
+            return pending
+        pause_ms = min(MOST_PAUSE_MS, 1 + int(self._quotas.wait_s(org.name) * 1000))
+        return Refused(request.OVER_RATE, pause_ms)
+
+
+def priority_at(rank: int, request_id: str) -> int:
+    """Return the priority of work at a rank: below calls, which are 0."""
+    return priority_of(min(rank + 1, LOWEST), request_id)
+
+
+class Attempts:
+    """Chooses a gate for each attempt and makes those that may be made again."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        directory: Directory,
+        placement: Placement,
+        own: Callable[[], Load],
+        send: Callable[[Peer | None, Run, float], "asyncio.Future[Reply]"],
+        budget: Callable[[str], Budget],
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._placement = placement
+        self._own = own
+        self._send = send
+        self._budget = budget
+        self._self = Peer(directory.own, clock.now())
+
+    async def make(self, work: Work) -> Reply:
+        """Return the outcome of the request over all its attempts."""
+        budget = self._budget(work.service)
+        budget.deposit()
+        tried: set[str] = set()
+        handed = 0
+        maybe_ran = False
+        reply = not_run(request.NO_TARGET, RETRY_SOON_MS)
+        while len(tried) < GATES_TRIED:
+            peer = self._placement.choose(self._candidates(work.service), tried)
+            if peer is None:
+                break
+            tried.add(peer.member.address)
+            last = reply
+            reply = await self._attempt(peer, work)
+            if reply.reason == request.NO_TARGET.type and last.reason:
+                reply = last if last.reason != request.NO_TARGET.type else reply
+            handed += reply.handed
+            maybe_ran = maybe_ran or reply.outcome != Outcome.NOT_RUN
+            if not self._again(work, reply, handed):
+                break
+            if reply.handed and not budget.spend():
+                break
+        if maybe_ran and reply.outcome == Outcome.NOT_RUN:
+            # True of the last attempt, but not of the request.
+            reply = unknown(request.LOST)
+        return reply
+
+    def _candidates(self, service: str) -> Sequence[Peer]:
+        peers = self._directory.serving(service)
+        load = self._own()
+        if load.service != service:
+            return peers
+        self._self.load = load
+        self._self.sent = 0
+        return [self._self, *peers]
+
+    def _again(self, work: Work, reply: Reply, handed: int) -> bool:
+        if (work.deadline - self._clock.now()) * 1000 < LAST_MS:
+            return False
+        if reply.outcome == Outcome.NOT_RUN:
+            if reply.reason == request.TOO_LATE.type:
+                return False
+            return not reply.handed or handed < work.route.attempts
+        if not work.route.idempotent or handed >= work.route.attempts:
+            return False
+        return reply.reason == request.LOST.type
+
+    async def _attempt(self, peer: Peer, work: Work) -> Reply:
+        now = self._clock.now()
+        left_s = work.deadline - now
+        if left_s * 1000 < LAST_MS:
+            return not_run(request.TOO_LATE)
+        peer.in_flight += 1
+        peer.sent += 1
+        target = None if peer is self._self else peer
+        try:
+            reply = await self._send(target, work.run(now), left_s)
+        except PeerLostError as exc:
+            return unknown(request.LOST) if exc.sent else not_run(request.UNREACHED)
+        except TimeoutError:
+            return unknown(request.TIMED_OUT)
+        finally:
+            peer.in_flight -= 1
+        if reply.load is not None and target is not None:
+            self._directory.loaded(peer, reply.load)
+        return reply
+
+
+class Entry(HttpService):
+    """Answers the requests that begin on this host."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        conventions: Conventions,
+        news: FleetNews,
+        checks: Sequence[Check],
+        attempts: Attempts,
+        quotas: Quotas,
+        caller: Callable[[], str],
+        explainer: Explainer,
+        done: Callable[[str, float], None],
+        rng: random.Random,
+        called: Callable[[Route], None],
+    ) -> None:
+        self._called = called
+        self._clock = clock
+        self._conventions = conventions
+        self._news = news
+        self._checks = checks
+        self._attempts = attempts
+        self._quotas = quotas
+        self._caller = caller
+        self._explainer = explainer
+        self._done = done
+        self._split = Splitter(rng)
+        self.single = SINGLE | {conventions.echo}
+        self.stopping = False
+        self.in_flight = 0
+
+    def limits(self) -> Limits:
+        return self._news.document.limits if self._news.document else Limits()
+
+    def closing(self) -> bool:
+        return self.stopping
+
+    async def answer(self, incoming: Incoming) -> Outgoing:
+        now = self._clock.now()
+        asked = self._conventions.asked(incoming)
+        if asked is None:
+            return self._refuse("", request.BAD_HEADER, 0)
+        admitted = self._admit(asked, now)
+        if isinstance(admitted, Refused):
+            self._explain(asked, None, now, admitted.reason.type, 0)
+            return self._refuse(asked.request_id, admitted.reason, admitted.retry_after_ms)
+        work = self._work(incoming, admitted)
+        self.in_flight += 1
+        try:
+            reply = await self._attempts.make(work)
+        except asyncio.CancelledError:
+            self._explain(asked, work, now, "caller-left", 0)
+            self._done("caller-left", 0.0)
+            raise
+        finally:
+            self.in_flight -= 1
+        return self._finish(asked, work, reply, now)
+
+    def _admit(self, asked: Asked, now: float) -> Pending | Refused:
+        doc = self._news.document
+        if doc is None:
+            return Refused(request.KEYS_STALE, RETRY_SOON_MS)
+        route = doc.route(asked.host, asked.path)
+        if route is None:
+            stale = self._news.age_s() > NEGATIVE_AGE_S
+            return Refused(request.NO_CONFIG, RETRY_SOON_MS) if stale else Refused(request.NO_ROUTE)
+        # A request without a key on an open route is a target's own call, or as
+        # good as one.
+        if route.open:
+            priority = CALL_PRIORITY
+            self._called(route)
+        else:
+            priority = priority_at(route.priority, asked.request_id)
+        pending = Pending(asked, route, priority, None, now)
+        for check in self._checks:
+            checked = check.check(pending, doc)
+            if isinstance(checked, Refused):
+                return checked
+            pending = checked
+        return pending
+
+    def _work(self, incoming: Incoming, pending: Pending) -> Work:
+        asked, route, now = pending.asked, pending.route, pending.now
+        name = pending.organisation.name if pending.organisation else ""
+        left_s = route.timeout_s if asked.left_ms < 0 else asked.left_ms / 1000
+        return Work(
+            route,
+            self._split.service(route),
+            incoming.method,
+            incoming.target,
+            self._conventions.forwarded(incoming.lines, name, self._caller()),
+            incoming.body,
+            name,
+            pending.priority,
+            now + route.objective_s,
+            now + min(left_s, route.timeout_s),
+            asked.request_id,
+        )
+
+    def _finish(self, asked: Asked, work: Work, reply: Reply, since: float) -> Outgoing:
+        reason = reason_of(reply)
+        if reply.outcome == Outcome.NOT_RUN and work.organisation:
+            self._quotas.give_back(work.organisation)
+        if reason is None:
+            self._explain(asked, work, since, "answered", reply.status)
+            self._done("answered", self._clock.now() - since)
+            return Outgoing(reply.status, reply.head, reply.body)
+        self._explain(asked, work, since, reason.type, reason.status)
+        return self._refuse(asked.request_id, reason, reply.retry_after_ms)
+
+    def _refuse(self, request_id: str, reason: Reason, pause_ms: int) -> Outgoing:
+        self._done(reason.type, 0.0)
+        # Only what has not run is to come back.
+        pause_ms = min(MOST_PAUSE_MS, pause_ms) if reason.status in (429, 503) else 0
+        head = self._conventions.refusal(request_id, pause_ms / 1000)
+        problem = {"type": "urn:beryldrum:problem:" + reason.type, "title": reason.title}
+        body = msgspec.json.encode(problem)
+        return Outgoing(reason.status, head + b"Content-Type: application/problem+json\r\n", body)
+
+    def _explain(
+        self, asked: Asked, work: Work | None, since: float, outcome: str, status: int
+    ) -> None:
+        good = outcome == "answered" and status < 500
+        note = self._explainer.sample if good else self._explainer.request
+        note(
+            "entry",
+            asked.request_id,
+            outcome,
+            status=status,
+            route=work.route.name if work else "",
+            service=work.service if work else "",
+            organisation=work.organisation if work else "",
+            priority=work.priority if work else -1,
+            left_ms=asked.left_ms,
+            took_ms=round((self._clock.now() - since) * 1000, 1),
+            version=self._news.version,
+            proof_ms=self._news.age_ms(),
+        )
--- /dev/null
+++ b/beryldrum/mesh/frames.py
@@ -0,0 +1,153 @@
+"""Messages between the nodes of a fleet, and their framing.
+
+A frame is a four-byte big-endian length and one message in MessagePack. Times
+travel as what is left of them, so that no two hosts compare clocks.
+"""
+
+import struct
+
+import msgspec
+
+from ..errors import FrameError
+
+__all__ = [
+    "LENGTH",
+    "MOST_FRAME",
+    "Cancel",
+    "Document",
+    "DocumentAsk",
+    "Load",
+    "Member",
+    "Message",
+    "Reply",
+    "Run",
+    "State",
+    "decode",
+    "encode",
+]
+
+MOST_FRAME = 72 * 2**20
+"""Largest frame in bytes: the largest body that a document may allow, and its headers."""
+
+LENGTH = struct.Struct(">I")
+
+
+class Member(msgspec.Struct, array_like=True, frozen=True):
+    """A node: ``incarnation`` is the wall-clock millisecond of its start."""
+
+    address: str
+    data_centre: str
+    incarnation: int
+
+
+class Load(msgspec.Struct, array_like=True):
+    """A gate's state. ``service`` is empty where no target takes work.
+
+    ``busy`` counts runs in flight and queued requests, ``limit`` bounds the runs in
+    flight, ``run_ms`` is the smoothed time of a run, ``failed`` the smoothed share of
+    runs that failed, and ``level`` the priority from which requests are refused.
+    """
+
+    service: str = ""
+    busy: int = 0
+    limit: int = 0
+    run_ms: float = 0.0
+    failed: float = 0.0
+    level: int = 0
+    queued: int = 0
+
+
+class Run(msgspec.Struct, array_like=True, tag=1):
+    """Asks a node to have its target run a request."""
+
+    sequence: int
+    service: str
+    method: str
+    path: str
+    head: bytes
+    """Header lines for the target, each ended by CR LF."""
+    body: bytes
+    organisation: str
+    priority: int
+    left_ms: int
+    due_ms: int
+    """What is left of the time within which an answer is worth most."""
+    request_id: str
+    idempotent: bool
+    route: str
+
+
+class Reply(msgspec.Struct, array_like=True, tag=2):
+    """The outcome of a :class:`Run`; ``reason`` is empty for an answer of the target."""
+
+    sequence: int
+    outcome: int
+    status: int
+    head: bytes = b""
+    body: bytes = b""
+    reason: str = ""
+    retry_after_ms: int = 0
+    load: Load | None = None
+    handed: bool = False
+    """Whether the request reached the target."""
+
+
+class Cancel(msgspec.Struct, array_like=True, tag=3):
+    """Ends the run with the same sequence: nobody waits for it."""
+
+    sequence: int
+
+
+class State(msgspec.Struct, array_like=True, tag=4):
+    """What a node says of itself; ``answer`` is false when a state is wanted in return.
+
+    ``proof_ms`` is the age of its proof that ``version`` is in force, -1 for none.
+    ``demand`` has requests a second by organisation, ``calls`` the calls that its
+    target made by service called, per run.
+    """
+
+    sequence: int
+    answer: bool
+    member: Member
+    load: Load
+    version: int
+    proof_ms: int
+    demand: dict[str, float]
+    calls: dict[str, float]
+    stopping: bool = False
+
+
+class DocumentAsk(msgspec.Struct, array_like=True, tag=5):
+    """Asks for the configuration in force."""
+
+    sequence: int
+
+
+class Document(msgspec.Struct, array_like=True, tag=6):
+    """The configuration as it stands in the store, and the age of its proof."""
+
+    sequence: int
+    text: bytes
+    proof_ms: int
+
+
+Message = Run | Reply | Cancel | State | DocumentAsk | Document
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of ``message``."""
+    buffer = bytearray(LENGTH.size)
+    _encoder.encode_into(message, buffer, LENGTH.size)
+    LENGTH.pack_into(buffer, 0, len(buffer) - LENGTH.size)
+    return bytes(buffer)
+
+
+def decode(body: bytes | memoryview) -> Message:
+    """Return the message in a frame's body; raises FrameError."""
+    try:
+        return _decoder.decode(body)
+    except (msgspec.DecodeError, ValueError) as exc:
+        raise FrameError(str(exc)) from exc
--- /dev/null
+++ b/beryldrum/mesh/gate.py
@@ -0,0 +1,170 @@
+"""Admission to the target on this host: who runs, who waits, who is refused.
+
+The load it answers: more requests arrive than the target can run in time. A
+target that is full may hang, so never more are handed over than it has slots.
+Calls of work that was admitted further up go first; what cannot be answered in
+time is refused at once, as *not run*, while its caller still has time left.
+"""
+
+from enum import Enum
+from typing import Generic, NamedTuple, TypeVar
+
+from result import Err, Ok, Result
+
+from .. import request
+from ..clock import Clock
+from ..queue import FairQueue, Waiting
+from ..request import Reason
+from .frames import Load
+from .pressure import Pressure
+
+__all__ = ["CALL_PRIORITY", "Admission", "Gate", "Want"]
+
+CALL_PRIORITY = 0
+"""Priority of a call that a target makes: the work above it is already paid for."""
+
+NEARLY_FULL = 0.94
+"""Share of the slots that is used; some targets slow down from 95% on."""
+
+SMOOTHING = 0.1
+"""Weight of the newest run in the smoothed run time and failure share."""
+
+MOST_QUEUED = 2_000
+"""Requests that wait at most, which bounds memory."""
+
+LEAST_RUN = 0.6
+"""Share of the usual run time that has to be left for a run to be worth a start."""
+
+T = TypeVar("T")
+
+
+class Admission(Enum):
+    """What becomes of a request that is not refused."""
+
+    START = "start"
+    WAIT = "wait"
+
+
+class Want(NamedTuple):
+    """A request for a run; ``due`` and ``deadline`` are clock seconds.
+
+    An answer after ``due`` is worth little, one after ``deadline`` nothing.
+    """
+
+    route: str
+    organisation: str
+    priority: int
+    due: float
+    deadline: float
+
+
+class Gate(Generic[T]):
+    """Decides on the runs of one target. ``T`` is the caller's handle of a request."""
+
+    def __init__(self, clock: Clock, slots: int) -> None:
+        self._clock = clock
+        self._routes: dict[str, float] = {}
+        self._run_s = 0.0
+        self._failed = 0.0
+        self._refused: list[tuple[T, Reason]] = []
+        self._wants: dict[int, Want] = {}
+        self.queue: FairQueue[T] = FairQueue()
+        self.pressure = Pressure(clock)
+        self.in_flight = 0
+        self.limit = 1
+        self.resize(slots)
+
+    def resize(self, slots: int) -> None:
+        """Take up the number of slots that the target announces."""
+        self.limit = max(1, int(slots * NEARLY_FULL))
+
+    def offer(self, item: T, want: Want) -> Result[Admission, Reason]:
+        """Decide on a request that has just come."""
+        now = self._clock.now()
+        run_s = self._routes.get(want.route, 0.0)
+        if now + run_s * LEAST_RUN >= want.deadline and (self.in_flight or now >= want.deadline):
+            return Err(request.TOO_LATE)
+        if self.in_flight < self.limit and not len(self.queue):
+            self._start(0.0)
+            return Ok(Admission.START)
+        wait_s = self._run_s * (self.queue.ahead(want.priority) + 1) / self.limit
+        if now + wait_s + run_s > self._latest(want) or len(self.queue) >= MOST_QUEUED:
+            self.pressure.refused()
+            return Err(request.SHED)
+        entry = Waiting(item, want.organisation, want.priority, now, want.deadline)
+        self._wants[id(item)] = want
+        self.queue.push(entry)
+        return Ok(Admission.WAIT)
+
+    @staticmethod
+    def _latest(want: Want) -> float:
+        # A call's own worth is that of the work which waits for it.
+        return want.deadline if want.priority < request.COHORTS else want.due
+
+    def _start(self, waited_s: float) -> None:
+        self.in_flight += 1
+        self.pressure.started(waited_s)
+
+    def finish(self, route: str, seconds: float, ok: bool) -> None:
+        """Note the end of a run."""
+        self.in_flight -= 1
+        weight = SMOOTHING if self._run_s else 1.0
+        self._run_s += weight * (seconds - self._run_s)
+        old = self._routes.get(route)
+        self._routes[route] = seconds if old is None else old + SMOOTHING * (seconds - old)
+        self._failed += SMOOTHING * ((0.0 if ok else 1.0) - self._failed)
+
+    def abandon(self) -> None:
+        """Note that a run that was let through has not been handed over."""
+        self.in_flight -= 1
+
+    def withdraw(self, item: T) -> bool:
+        """Take a waiting request out; returns False when it is not waiting."""
+        if self._wants.pop(id(item), None) is None:
+            return False
+        for entry in self.queue.entries():
+            if entry.item is item:
+                return self.queue.remove(entry)
+        return False
+
+    def ready(self) -> tuple[list[T], list[tuple[T, Reason]]]:
+        """Return the requests to start now and those refused meanwhile."""
+        started: list[T] = []
+        refused: list[tuple[T, Reason]] = []
+        now = self._clock.now()
+        while self.in_flight < self.limit:
+            entry = self.queue.pop()
+            if entry is None:
+                break
+            want = self._wants.pop(id(entry.item))
+            if now + self._routes.get(want.route, 0.0) * LEAST_RUN >= want.deadline:
+                self.pressure.refused()
+                refused.append((entry.item, request.TOO_LATE))
+                continue
+            self._start(now - entry.since)
+            started.append(entry.item)
+        return started, refused
+
+    def drain_queue(self, reason: Reason) -> list[tuple[T, Reason]]:
+        """Take out all that wait, refused for ``reason``."""
+        items = [entry.item for entry in self.queue.entries()]
+        for item in items:
+            self.withdraw(item)
+        return [(item, reason) for item in items]
+
+    def wait_s(self) -> float:
+        """Return how long a request of the least importance would wait now."""
+        return self._run_s * (len(self.queue) + 1) / self.limit
+
+    def load(self, service: str) -> Load:
+        """Return the gate's state."""
+        queued = len(self.queue)
+        return Load(
+            service,
+            self.in_flight + queued,
+            self.limit,
+            round(self._run_s * 1000, 1),
+            round(self._failed, 3),
+            self.pressure.level(),
+            queued,
+        )
--- /dev/null
+++ b/beryldrum/mesh/graph.py
@@ -0,0 +1,130 @@
+"""Which services a request comes to, learnt from what targets call.
+
+Calls bear no mark of the run that makes them, so a node compares, window by
+window, how many runs of each route its target began with how many calls it
+made. Least squares with weights that are not negative tell the calls by route.
+The load it answers: a service deep in the graph is full, and only requests that
+come to it should be refused at the entry.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from ..clock import Clock
+from .document import Route
+
+__all__ = ["CallGraph"]
+
+WINDOW_S = 0.5
+"""Windows over which runs and calls are counted; longer than a run waits for a call."""
+
+FORGET = 0.97
+"""Weight that a window keeps when the next one is added: half after some 12 s."""
+
+STEPS = 8
+"""Steps of the multiplicative update a window; it goes on from the last weights."""
+
+NEEDED = 0.3
+"""Calls a run from which a route is taken to need a service."""
+
+
+class CallGraph:
+    """Calls per run, by route run here and route called."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._since = clock.now()
+        self._runs: Counter[str] = Counter()
+        self._calls: Counter[str] = Counter()
+        self._products: dict[tuple[str, str], float] = {}
+        self._mixed: dict[tuple[str, str], float] = {}
+        self._weights: dict[tuple[str, str], float] = {}
+        self._services: dict[str, str] = {}
+        self._next: dict[str, set[str]] = {}
+        self._reached: dict[str, frozenset[str]] = {}
+
+    def ran(self, route: str) -> None:
+        """Count a run that begins at the target here."""
+        self._runs[route] += 1
+
+    def called(self, route: Route) -> None:
+        """Count a call that the target here makes."""
+        self._calls[route.name] += 1
+
+    def calls(self) -> dict[str, float]:
+        """Return what was learnt here, as ``run>called`` and calls per run."""
+        return {f"{a}>{b}": round(w, 2) for (a, b), w in self._weights.items() if w >= NEEDED}
+
+    def tick(self, others: Iterable[Mapping[str, float]]) -> None:
+        """Take up what the ``others`` learnt, and the last window."""
+        now = self._clock.now()
+        if now - self._since < WINDOW_S:
+            return
+        self._since = now
+        self._learn()
+        sums: Counter[str] = Counter()
+        voices: Counter[str] = Counter()
+        for learnt in [self.calls(), *others]:
+            for name in {edge.partition(">")[0] for edge in learnt}:
+                voices[name] += 1
+            for edge, weight in learnt.items():
+                sums[edge] += weight  # type: ignore[assignment]
+        graph: dict[str, set[str]] = {}
+        for edge, weight in sums.items():
+            above, _, below = edge.partition(">")
+            if weight / voices[above] >= NEEDED:
+                graph.setdefault(above, set()).add(below)
+        self._next = graph
+        self._reached.clear()
+
+    def _learn(self) -> None:
+        runs, calls = self._runs, self._calls
+        self._runs, self._calls = Counter(), Counter()
+        for table in (self._products, self._mixed):
+            for pair in table:
+                table[pair] *= FORGET
+        for one, count in runs.items():
+            for two, other in runs.items():
+                pair = (one, two)
+                self._products[pair] = self._products.get(pair, 0.0) + count * other
+            for called, times in calls.items():
+                pair = (one, called)
+                self._mixed[pair] = self._mixed.get(pair, 0.0) + count * times
+        for _ in range(STEPS):
+            self._weights = {
+                (one, called): self._step(one, called, mixed)
+                for (one, called), mixed in self._mixed.items()
+            }
+
+    def _step(self, one: str, called: str, mixed: float) -> float:
+        old = self._weights.get((one, called), 1.0)
+        explained = sum(
+            product * self._weights.get((two, called), 1.0)
+            for (first, two), product in self._products.items()
+            if first == one
+        )
+        return old * mixed / explained if explained > 0 else old
+
+    def reached(self, route: Route) -> frozenset[str]:
+        """Return the routes' services that requests of ``route`` come to."""
+        for part in route.parts:
+            self._services.setdefault(route.name, part.service)
+        found = self._reached.get(route.name)
+        if found is None:
+            found = self._reached[route.name] = self._walk(route)
+        return found
+
+    def _walk(self, route: Route) -> frozenset[str]:
+        seen, todo = {route.name}, [route.name]
+        while todo:
+            for name in self._next.get(todo.pop(), ()):
+                if name not in seen:
+                    seen.add(name)
+                    todo.append(name)
+        services = {self._services[name] for name in seen if name in self._services}
+        return frozenset(services | {part.service for part in route.parts})
+
+    def load(self, services: Mapping[str, str]) -> None:
+        """Take up the service of each route, by its name."""
+        self._services = dict(services)
+        self._reached.clear()
--- /dev/null
+++ b/beryldrum/mesh/http.py
@@ -0,0 +1,577 @@
+"""HTTP/1.1 on asyncio protocols: a listener for callers and a pool for targets.
+
+The parser is a library's. What is added here is what a proxy that promises *not
+run* has to be strict about: no request with two lengths, no answer that belongs
+to another request, none that ended early, and nothing sent twice.
+"""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+from collections import deque
+from typing import Any, NamedTuple
+
+import httptools
+
+from ..errors import TargetLostError, TargetUnreachedError
+from .document import Limits
+
+__all__ = ["SINGLE", "BodyMemory", "Header", "HttpListener", "HttpService", "Incoming", "Outgoing", "Pool", "Response"]
+
+CONNECT_TIMEOUT_S = 1.0
+"""A target on this host or a store in this region accepts within some ms."""
+
+IDLE_MOST_S = 4.0
+"""Idle connections to a target that states no keep-alive time are used this long."""
+
+KEEP_ALIVE_MARGIN_S = 1.0
+"""Taken off the keep-alive time that a peer states in whole seconds."""
+
+SWEEP_S = 1.0
+"""Period at which idle connections are looked through."""
+
+MOST_PIPELINED = 16
+"""Requests read ahead on one connection before it is read no further."""
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+SINGLE = frozenset((b"host", b"authorization", b"content-length"))
+"""Headers that a request may bear only once, besides those of the service."""
+
+Header = tuple[bytes, bytes]
+
+
+class Incoming(NamedTuple):
+    """A whole request. Header names are in lower case, ``lines`` as they were sent."""
+
+    method: str
+    target: str
+    headers: dict[bytes, bytes]
+    lines: list[Header]
+    body: bytes
+
+
+class Outgoing(NamedTuple):
+    """An answer; ``head`` holds header lines without length and connection."""
+
+    status: int
+    head: bytes = b""
+    body: bytes = b""
+    close: bool = False
+
+
+class Response(NamedTuple):
+    """A whole answer of a target or of the store."""
+
+    status: int
+    headers: list[Header]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes:
+        """Return the value of the header with a lower-case ``name``, or empty."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return b""
+
+
+class HttpService(ABC):
+    """Answers the requests of a listener."""
+
+    @abstractmethod
+    async def answer(self, incoming: Incoming) -> Outgoing:
+        """Return the answer; cancelled when the caller leaves."""
+
+    single: frozenset[bytes] = SINGLE
+    """Lower-case names of the headers that a request may bear only once."""
+
+    def limits(self) -> Limits:
+        """Return the bounds on requests in force."""
+        return Limits()
+
+    def closing(self) -> bool:
+        """Tell whether connections are to be closed after the next answer."""
+        return False
+
+
+class BodyMemory:
+    """Bounds the bytes of request bodies that a process holds at once."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self.held = 0
+
+    def take(self, size: int) -> bool:
+        """Reserve ``size`` bytes; returns False when there is no room."""
+        if self.held + size > self._most:
+            return False
+        self.held += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Free ``size`` bytes."""
+        self.held -= size
+
+
+class _Refusal(Exception):
+    """A request that is refused while it is read."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class ServerConnection(asyncio.Protocol):
+    """One caller's connection. Requests on it are answered in order."""
+
+    def __init__(self, listener: "HttpListener") -> None:
+        self._listener = listener
+        self._service = listener.service
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: deque[tuple[Incoming, bool]] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._refused = 0
+        self._held = 0
+        self.since = time.monotonic()
+        self._begin()
+
+    def _begin(self) -> None:
+        self._url = b""
+        self._lines: list[Header] = []
+        self._headers: dict[bytes, bytes] = {}
+        self._head_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self.reading = False
+
+    # Transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._listener.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._listener.connections.discard(self)
+        self._listener.memory.give_back(self._held)
+        self._held = 0
+        self._queue.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        if self._refused:
+            return
+        self.since = time.monotonic()
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, _Refusal) as exc:
+            self._refuse(_refusal_status(exc))
+
+    # Parser.
+
+    def on_message_begin(self) -> None:
+        self._begin()
+        self.reading = True
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_head(len(name) + len(value) + 4)
+        self._lines.append((name, value))
+        low = name.lower()
+        if low in self._headers and low in self._service.single:
+            raise _Refusal(400)
+        self._headers[low] = value
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._service.limits().header_bytes:
+            raise _Refusal(431)
+
+    def on_headers_complete(self) -> None:
+        headers = self._headers
+        if b"content-length" in headers and b"transfer-encoding" in headers:
+            raise _Refusal(400)
+        if headers.get(b"expect", b"").lower() == b"100-continue" and self._transport:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > self._service.limits().body_bytes:
+            raise _Refusal(413)
+        if not self._listener.memory.take(len(body)):
+            raise _Refusal(503)
+        self._held += len(body)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        incoming = Incoming(
+            self._parser.get_method().decode("latin-1"),
+            self._url.decode("latin-1"),
+            self._headers,
+            self._lines,
+            b"".join(self._body),
+        )
+        self.reading = False
+        self._queue.append((incoming, self._parser.should_keep_alive()))
+        if self._task is None:
+            self._next()
+        elif len(self._queue) >= MOST_PIPELINED and self._transport:
+            self._transport.pause_reading()
+
+    # Answers.
+
+    def _next(self) -> None:
+        if not self._queue or self._transport is None:
+            return
+        incoming, keep = self._queue.popleft()
+        self._task = asyncio.create_task(self._serve(incoming, keep))
+
+    async def _serve(self, incoming: Incoming, keep: bool) -> None:
+        try:
+            outgoing = await self._service.answer(incoming)
+        except asyncio.CancelledError:
+            return
+        finally:
+            self._task = None
+            if self._held and incoming.body:
+                self._listener.memory.give_back(len(incoming.body))
+                self._held -= len(incoming.body)
+        self.since = time.monotonic()
+        close = outgoing.close or not keep or self._service.closing()
+        self._write(outgoing, close, incoming.method == "HEAD")
+        if not close and self._transport:
+            self._transport.resume_reading()
+            self._next()
+        if self._refused and not self._queue:
+            self._refuse(self._refused)
+
+    def _write(self, outgoing: Outgoing, close: bool, head_only: bool = False) -> None:
+        if self._transport is None:
+            return
+        status = outgoing.status
+        head = b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n" % (
+            status,
+            REASONS.get(status, "Status").encode(),
+            outgoing.head,
+            len(outgoing.body),
+            b"Connection: close\r\n" if close else b"",
+        )
+        self._transport.write(head if head_only else head + outgoing.body)
+        if close:
+            self._queue.clear()
+            self._transport.close()
+
+    def _refuse(self, status: int) -> None:
+        # What was read whole before is answered first.
+        self._refused = status
+        if self._task is None:
+            head = b"Retry-After: 1\r\n" if status == 503 else b""
+            self._write(Outgoing(status, head), close=True)
+
+    # The listener's sweep.
+
+    def sweep(self, now: float) -> None:
+        """Close the connection if it has been idle or half read for too long."""
+        limits = self._service.limits()
+        if self._task is not None or self._queue:
+            return
+        if self.reading and now - self.since > limits.header_s + SWEEP_S and not self._body:
+            self._refuse(408)
+        elif now - self.since > limits.idle_s + SWEEP_S:
+            self.close()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is being read or answered."""
+        return self._task is None and not self._queue and not self.reading
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+def _refusal_status(exc: Exception) -> int:
+    cause: BaseException | None = exc
+    while cause is not None:
+        if isinstance(cause, _Refusal):
+            return cause.status
+        cause = cause.__cause__ or cause.__context__
+    return 400
+
+
+class HttpListener:
+    """A listening address and the connections accepted on it."""
+
+    def __init__(self, service: HttpService, memory: BodyMemory) -> None:
+        self.service = service
+        self.memory = memory
+        self.connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen on ``address``; raises OSError when it is taken."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, int(port), backlog=1024
+        )
+
+    @property
+    def address(self) -> str:
+        """The address listened on."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        now = time.monotonic()
+        for conn in list(self.connections):
+            conn.sweep(now)
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for conn in list(self.connections):
+            if conn.idle:
+                conn.close()
+
+    def stop(self) -> None:
+        """Accept nothing more."""
+        if self._server is not None:
+            self._server.close()
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection to a target or to the store, with one request at a time."""
+
+    def __init__(self, echo: bytes) -> None:
+        self._echo = echo
+        self._request_id = b""
+        self._head_only = False
+        self.used_at = time.monotonic()
+        self.idle_s = IDLE_MOST_S
+        self.reusable = True
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._fut: asyncio.Future[Response] | None = None
+        self._begin()
+
+    def _begin(self) -> None:
+        self._headers: list[Header] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._framed = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    @property
+    def open(self) -> bool:
+        """Whether the connection can take a request."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def send(self, data: bytes, request_id: bytes, head_only: bool) -> "asyncio.Future[Response]":
+        """Send a request and return the future of its answer.
+
+        ``request_id`` is what the answer has to echo if it echoes anything; empty
+        to take any answer.
+        """
+        assert self._transport is not None
+        self._request_id = request_id
+        self._head_only = head_only
+        self._fut = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        return self._fut
+
+    def data_received(self, data: bytes) -> None:
+        if self._fut is None:
+            # Bytes that nobody asked for: the next answer here could be another's.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._lose("upgrade")
+        except httptools.HttpParserError as exc:
+            self._lose(type(exc).__name__)
+
+    def eof_received(self) -> None:
+        if self._fut is not None and self._headers and not self._framed:
+            self.reusable = False
+            self._deliver()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._lose("closed" if exc is None else type(exc).__name__)
+
+    def _lose(self, why: str) -> None:
+        self.reusable = False
+        fut, self._fut = self._fut, None
+        if fut is not None and not fut.done():
+            fut.set_exception(TargetLostError(why))
+        self.abort()
+
+    def on_message_begin(self) -> None:
+        if self._fut is None:
+            self.reusable = False
+        self._begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        names = {name.lower() for name, _ in self._headers}
+        sized = b"content-length" in names or b"transfer-encoding" in names
+        self._framed = sized or status < 200 or status in (204, 304)
+        if self._head_only and status >= 200 and self._fut is not None:
+            self.reusable = False
+            self._deliver()
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status < 200 or self._fut is None:
+            return
+        if not self._own():
+            # A late second answer to an earlier request; ours is yet to come.
+            self.reusable = False
+            return
+        self.reusable = self.reusable and self._parser.should_keep_alive()
+        self._deliver()
+
+    def _own(self) -> bool:
+        if not self._request_id:
+            return True
+        for name, value in self._headers:
+            if name.lower() == self._echo:
+                return value == self._request_id
+        return True
+
+    def _deliver(self) -> None:
+        fut, self._fut = self._fut, None
+        for name, value in self._headers:
+            if name.lower() == b"keep-alive":
+                self.idle_s = _keep_alive_s(value)
+        self.used_at = time.monotonic()
+        if fut is not None and not fut.done():
+            status = self._parser.get_status_code()
+            fut.set_result(Response(status, self._headers, b"".join(self._body)))
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+def _keep_alive_s(value: bytes) -> float:
+    for part in value.split(b","):
+        name, _, number = part.partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return max(0.0, min(IDLE_MOST_S, int(number) - KEEP_ALIVE_MARGIN_S))
+    return IDLE_MOST_S
+
+
+class Pool:
+    """The connections to one address.
+
+    ``echo`` is the lower-case name of the header in which answers name the request
+    that they belong to, empty where they do not.
+    """
+
+    def __init__(self, address: str, echo: bytes = b"") -> None:
+        self.address = address
+        self._echo = echo
+        self._idle: list[ClientConnection] = []
+        self.opened = 0
+
+    async def request(
+        self, data: bytes, request_id: bytes = b"", idle_most_s: float = IDLE_MOST_S, head: bool = False
+    ) -> Response:
+        """Send a request and return its whole answer.
+
+        A connection that was idle for over ``idle_most_s`` is not used. Raises
+        TargetUnreachedError when nothing can have been sent, TargetLostError when
+        something may have and no whole answer came. When cancelled, the connection
+        is closed, so that the target can stop.
+        """
+        conn = self._take(idle_most_s) or await self._open()
+        fut = conn.send(data, request_id, head)
+        try:
+            response = await fut
+        except BaseException:
+            conn.abort()
+            raise
+        if conn.reusable and conn.open:
+            self._idle.append(conn)
+        else:
+            conn.close()
+        return response
+
+    def _take(self, idle_most_s: float) -> ClientConnection | None:
+        now = time.monotonic()
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.open and now - conn.used_at <= min(idle_most_s, conn.idle_s):
+                return conn
+            conn.close()
+        return None
+
+    async def _open(self) -> ClientConnection:
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        conn = ClientConnection(self._echo)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: conn, host, int(port))
+        except (OSError, TimeoutError) as exc:
+            raise TargetUnreachedError(self.address) from exc
+        self.opened += 1
+        return conn
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        now = time.monotonic()
+        stale = [c for c in self._idle if not c.open or now - c.used_at > c.idle_s]
+        for conn in stale:
+            self._idle.remove(conn)
+            conn.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
+
+
+def head_lines(lines: Any) -> bytes:
+    """Return header lines from pairs of names and values."""
+    return b"".join(b"%s: %s\r\n" % pair for pair in lines)
--- /dev/null
+++ b/beryldrum/mesh/links.py
@@ -0,0 +1,181 @@
+"""Connections between nodes: each opens one to every other that it knows.
+
+Requests and their replies are matched by connection and sequence. A connection
+on which a heartbeat gets no answer is given up: one that went silent is never
+reset by the network.
+"""
+
+import asyncio
+import itertools
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+from ..errors import FrameError, PeerLostError
+from . import frames
+
+__all__ = ["Link", "LinkHandler", "LinkProtocol", "listen"]
+
+CONNECT_TIMEOUT_S = 1.0
+"""Two data centres answer within some ms; a host that is off answers never."""
+
+MOST_UNSENT = 4 * 2**20
+"""Unsent bytes beyond which a peer that does not read is given nothing new."""
+
+
+class LinkHandler(ABC):
+    """Takes the messages that other nodes send."""
+
+    @abstractmethod
+    def message(self, message: frames.Message, link: "LinkProtocol") -> None:
+        """Handle a message that came over ``link``."""
+
+    @abstractmethod
+    def link_lost(self, link: "LinkProtocol") -> None:
+        """Note that ``link`` has ended."""
+
+
+class LinkProtocol(asyncio.Protocol):
+    """The framing of one connection, in both directions."""
+
+    def __init__(self, handler: LinkHandler) -> None:
+        self._handler = handler
+        self._buffer = bytearray()
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        buffer = self._buffer
+        buffer += data
+        start, size = 0, len(buffer)
+        try:
+            while size - start >= 4:
+                (length,) = frames.LENGTH.unpack_from(buffer, start)
+                if length > frames.MOST_FRAME:
+                    raise FrameError(f"a frame of {length} bytes")
+                end = start + 4 + length
+                if end > size:
+                    break
+                message = frames.decode(bytes(memoryview(buffer)[start + 4 : end]))
+                start = end
+                self._handler.message(message, self)
+        except FrameError:
+            self.abort()
+        del buffer[:start]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._handler.link_lost(self)
+
+    @property
+    def open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def send(self, message: frames.Message) -> None:
+        """Send a message; on a connection that has ended it is dropped."""
+        if self._transport is not None:
+            self._transport.write(frames.encode(message))
+
+    def unsent(self) -> int:
+        """Return how many bytes wait for the peer to read."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Link(LinkHandler):
+    """This node's connection to one other, opened anew when it is lost."""
+
+    def __init__(self, address: str, lost: Callable[["Link"], None]) -> None:
+        self.address = address
+        self._lost = lost
+        self._protocol: LinkProtocol | None = None
+        self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._sequences = itertools.count(1)
+
+    @property
+    def open(self) -> bool:
+        """Whether the connection stands."""
+        return self._protocol is not None and self._protocol.open
+
+    async def connect(self) -> None:
+        """Open the connection; raises PeerLostError."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, protocol = await loop.create_connection(
+                    lambda: LinkProtocol(self), host, int(port)
+                )
+        except (OSError, TimeoutError) as exc:
+            raise PeerLostError(self.address, sent=False) from exc
+        self._protocol = protocol
+
+    def message(self, message: frames.Message, link: LinkProtocol) -> None:
+        if isinstance(message, frames.Reply | frames.State | frames.Document):
+            fut = self._waiting.pop(message.sequence, None)
+            if fut is not None and not fut.done():
+                fut.set_result(message)
+
+    def link_lost(self, link: LinkProtocol) -> None:
+        if link is not self._protocol:
+            return
+        self._protocol = None
+        waiting, self._waiting = self._waiting, {}
+        for fut in waiting.values():
+            if not fut.done():
+                fut.set_exception(PeerLostError(self.address, sent=True))
+        self._lost(self)
+
+    async def ask(self, message: Any, timeout_s: float) -> Any:
+        """Send ``message`` and return its reply.
+
+        Raises PeerLostError, which tells whether bytes may have left, and
+        TimeoutError. A run that is no longer waited for is cancelled at the peer.
+        """
+        protocol = self._protocol
+        if protocol is None or not protocol.open or protocol.unsent() > MOST_UNSENT:
+            raise PeerLostError(self.address, sent=False)
+        loop = asyncio.get_running_loop()
+        sequence = message.sequence = next(self._sequences)
+        fut = self._waiting[sequence] = loop.create_future()
+        protocol.send(message)
+        timer = loop.call_later(timeout_s, _expire, fut)
+        try:
+            return await fut
+        except (TimeoutError, asyncio.CancelledError):
+            if isinstance(message, frames.Run):
+                protocol.send(frames.Cancel(sequence))
+            raise
+        finally:
+            timer.cancel()
+            self._waiting.pop(sequence, None)
+
+    def tell(self, message: frames.Message) -> None:
+        """Send a message that has no reply."""
+        if self._protocol is not None:
+            self._protocol.send(message)
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._protocol is not None:
+            self._protocol.abort()
+
+
+def _expire(fut: "asyncio.Future[Any]") -> None:
+    if not fut.done():
+        fut.set_exception(TimeoutError())
+
+
+async def listen(address: str, handler: LinkHandler) -> asyncio.Server:
+    """Listen for other nodes; raises OSError when the address is taken."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: LinkProtocol(handler), host, int(port))
--- /dev/null
+++ b/beryldrum/mesh/node.py
@@ -0,0 +1,509 @@
+"""A mesh node: the parts put together, and their life from start to stop."""
+
+import asyncio
+import contextlib
+import gc
+import random
+import signal
+from collections.abc import Callable
+from typing import Any
+
+from .. import request
+from ..clock import Clock, SystemClock
+from ..errors import DocumentError, LogError, PeerLostError, SettingsError
+from ..request import NO_LEVEL
+from ..retry import Budget
+from .conventions import Conventions, Leaving
+from .directory import Directory, Peer
+from .document import FleetDocument, Route
+from .entry import Attempts, Entry, KeyCheck, LevelCheck, RateCheck
+from .explain import Explainer
+from .frames import Cancel, Document, DocumentAsk, Member, Message, Reply, Run, State
+from .graph import CallGraph
+from .http import BodyMemory, HttpListener, HttpService, Incoming, Outgoing
+from .links import Link, LinkHandler, LinkProtocol, listen
+from .metrics import MeshMetrics
+from .news import FleetNews
+from .placement import Placement
+from .quota import Quotas
+from .settings import MeshSettings
+from .store import Store
+from .target import Announcement
+from .target_side import TargetSide
+
+__all__ = ["MeshNode", "serve"]
+
+TICK_S = 0.25
+"""Period of the housekeeping: shares, limits, sweeps."""
+
+HEARTBEAT_S = 0.5
+"""Period at which each node asks every other for its state."""
+
+SILENT_S = 1.5
+"""A connection on which a heartbeat is not answered for this long is given up."""
+
+RECONNECT_FIRST_S = 0.1
+RECONNECT_MOST_S = 1.0
+"""Pauses between attempts to connect to a node; a restarted one is back in a second."""
+
+WATCH_S = 2.0
+"""How long the store holds the question for a new configuration open. Less than half
+of the time in which a withdrawn key must stop working, so that one may be lost."""
+
+STORE_PAUSE_S = 0.3
+"""Pause after a call to the store that failed."""
+
+MEMBERS_S = 10.0
+"""Period at which the members are read from the store, for two that missed each other."""
+
+KEY_MARGIN_S = 0.4
+"""Taken off the time in which a withdrawn key must stop working, for clocks that run
+at different speeds and for the way of a request to its target."""
+
+LEAVE_QUIET_S = 2.6
+"""How long a stopping node goes on accepting: callers learn from two questions a
+second apart that it is not ready."""
+
+LAST_S = 0.5
+"""Time before the process is killed at which a stopping node ends what still runs."""
+
+BODY_SHARE = 0.25
+"""Share of the memory that request bodies may take at once."""
+
+GC_THRESHOLDS = (20_000, 20, 50)
+
+
+class _Ready(HttpService):
+    def __init__(self, ready: Callable[[], bool]) -> None:
+        self._ready = ready
+
+    async def answer(self, incoming: Incoming) -> Outgoing:
+        return Outgoing(200 if self._ready() else 503)
+
+
+class _Control(HttpService):
+    def __init__(self, state: Callable[[Incoming], bool]) -> None:
+        self._state = state
+
+    async def answer(self, incoming: Incoming) -> Outgoing:
+        if not self._state(incoming):
+            return Outgoing(400)
+        return Outgoing(200, b"Content-Type: application/json\r\n", b"{}")
+
+
+class MeshNode(LinkHandler):
+    """The one process of the system on a target's host."""
+
+    def __init__(
+        self,
+        cfg: MeshSettings,
+        conventions: Conventions,
+        store: Store,
+        logger: Any,
+        clock: Clock | None = None,
+    ) -> None:
+        self.cfg = cfg
+        self.clock = clock or SystemClock()
+        self._conventions = conventions
+        self._store = store
+        self._logger = logger
+        self._rng = random.Random(f"{cfg.name} {self.clock.wall_ms()}")
+        self.member = Member(cfg.nodes, cfg.data_centre, self.clock.wall_ms())
+        self.explainer = Explainer(logger, self.clock)
+        self.metrics = MeshMetrics()
+        self.news = FleetNews(self.clock)
+        self.directory = Directory(self.clock, self.member)
+        self.quotas = Quotas(self.clock)
+        self.graph = CallGraph(self.clock)
+        self.target = TargetSide(self.clock, conventions, self.explainer, self.graph.ran)
+        self.stopping = False
+        self._stop_at = 0.0
+        self._budgets: dict[str, Budget] = {}
+        self._links: dict[str, Link] = {}
+        self._keepers: dict[str, asyncio.Task[None]] = {}
+        self._serving: dict[tuple[LinkProtocol, int], asyncio.Task[None]] = {}
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._store_up = True
+        self._memory = BodyMemory(int(cfg.memory_mb * 2**20 * BODY_SHARE))
+        self.entry = self._make_entry()
+        self.news.changed.append(self._take_up)
+
+    def _make_entry(self) -> Entry:
+        checks = [
+            KeyCheck(self.news, self.cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S),
+            LevelCheck(self._level, self._pause_ms),
+            RateCheck(self.quotas),
+        ]
+        attempts = Attempts(
+            self.clock,
+            self.directory,
+            Placement(self._rng, self.cfg.data_centre),
+            self.target.load,
+            self._send,
+            self._budget,
+        )
+        return Entry(
+            self.clock,
+            self._conventions,
+            self.news,
+            checks,
+            attempts,
+            self.quotas,
+            lambda: self.target.service or self.cfg.service,
+            self.explainer,
+            self.metrics.request,
+            self._rng,
+            self.graph.called,
+        )
+
+    # Decisions that need several parts.
+
+    def _budget(self, service: str) -> Budget:
+        # The fleet's budget, divided evenly; half of it, since the calls of what
+        # is repeated count as repeats at the services they go to.
+        budget = self._budgets.get(service)
+        if budget is None:
+            nodes = len(self.directory.peers) + 1
+            burst = max(1.0, self.cfg.retry_slack / nodes / 2)
+            budget = self._budgets[service] = Budget(self.cfg.retry_ratio / 2, burst)
+        return budget
+
+    def _level(self, route: Route) -> int:
+        return min(
+            (self._service_level(name) for name in self.graph.reached(route)), default=NO_LEVEL
+        )
+
+    def _service_level(self, service: str) -> int:
+        loads = [p.load for p in self.directory.serving(service)]
+        if self.target.service == service:
+            loads.append(self.target.load())
+        total = sum(load.limit for load in loads)
+        if not total:
+            return NO_LEVEL
+        return int(sum(load.level * load.limit for load in loads) / total)
+
+    def _pause_ms(self, priority: int) -> int:
+        # The less important come back later, and never all at once.
+        rank = priority // request.COHORTS
+        return int(self._rng.uniform(150, 350) * max(1, rank))
+
+    # Requests, here or at another node.
+
+    def _send(self, peer: Peer | None, run: Run, left_s: float) -> "asyncio.Future[Reply]":
+        if peer is None:
+            return self.target.run(run)  # type: ignore[return-value]
+        return self._ask_run(peer, run, left_s)  # type: ignore[return-value]
+
+    async def _ask_run(self, peer: Peer, run: Run, left_s: float) -> Reply:
+        link = self._links.get(peer.member.address)
+        if link is None:
+            raise PeerLostError(peer.member.address, sent=False)
+        reply = await link.ask(run, left_s)
+        assert isinstance(reply, Reply)
+        return reply
+
+    async def _serve_run(self, run: Run, link: LinkProtocol) -> None:
+        reply = await self.target.run(run)
+        reply.sequence = run.sequence
+        link.send(reply)
+
+    # Messages of other nodes.
+
+    def message(self, message: Message, link: LinkProtocol) -> None:
+        if isinstance(message, Run):
+            key = (link, message.sequence)
+            task = self._serving[key] = asyncio.create_task(self._serve_run(message, link))
+            task.add_done_callback(lambda _: self._serving.pop(key, None))
+        elif isinstance(message, Cancel):
+            running = self._serving.get((link, message.sequence))
+            if running is not None:
+                running.cancel()
+        elif isinstance(message, State):
+            self._meet(message.member)
+            self.directory.heard(message, self.clock.now() - 1e-3)
+            if not message.answer:
+                link.send(self._state(message.sequence, answer=True))
+        elif isinstance(message, DocumentAsk):
+            link.send(Document(message.sequence, self.news.text, self.news.age_ms()))
+
+    def link_lost(self, link: LinkProtocol) -> None:
+        for key in [k for k in self._serving if k[0] is link]:
+            self._serving[key].cancel()
+
+    def _state(self, sequence: int, answer: bool) -> State:
+        return State(
+            sequence,
+            answer,
+            self.member,
+            self.target.load(),
+            self.news.version,
+            self.news.age_ms(),
+            self.quotas.demand(),
+            self.graph.calls(),
+            self.stopping,
+        )
+
+    def _tell_all(self) -> None:
+        for link in self._links.values():
+            link.tell(self._state(0, answer=True))
+
+    # Other nodes.
+
+    def _meet(self, member: Member) -> None:
+        peer = self.directory.add(member)
+        if peer is not None and not self.stopping:
+            self._keepers[member.address] = asyncio.create_task(self._keep(peer))
+
+    async def _keep(self, peer: Peer) -> None:
+        """Keep a connection to another node, as long as it is known."""
+        address = peer.member.address
+        link = self._links[address] = Link(address, lambda _: self._lost(peer))
+        pause_s = RECONNECT_FIRST_S
+        while address in self.directory.peers and not self.stopping:
+            try:
+                if not link.open:
+                    await link.connect()
+                await self._heartbeat(peer, link)
+                pause_s = RECONNECT_FIRST_S
+                await asyncio.sleep(HEARTBEAT_S * self._rng.uniform(0.8, 1.2))
+            except (PeerLostError, TimeoutError):
+                link.abort()
+                self._lost(peer)
+                await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+                pause_s = min(RECONNECT_MOST_S, pause_s * 2)
+        link.abort()
+        self._links.pop(address, None)
+
+    def _lost(self, peer: Peer) -> None:
+        if peer.connected:
+            self.explainer.belief("peer lost", peer=peer.member.address, load=str(peer.load))
+        self.directory.connected(peer, False)
+
+    async def _heartbeat(self, peer: Peer, link: Link) -> None:
+        asked_at = self.clock.now()
+        state = await link.ask(self._state(0, answer=False), SILENT_S)
+        assert isinstance(state, State)
+        self.directory.heard(state, asked_at)
+        if not peer.connected:
+            self.explainer.belief("peer met", peer=state.member.address, service=state.load.service)
+        self.directory.connected(peer, True)
+        if state.proof_ms >= 0:
+            proved_at = asked_at - state.proof_ms / 1000
+            if state.version > self.news.version:
+                await self._copy(link)
+            else:
+                self.news.confirm(state.version, proved_at)
+
+    async def _copy(self, link: Link) -> None:
+        asked_at = self.clock.now()
+        answer = await link.ask(DocumentAsk(0), SILENT_S)
+        assert isinstance(answer, Document)
+        if answer.text and answer.proof_ms >= 0:
+            self._read(answer.text, asked_at - answer.proof_ms / 1000, "peer")
+
+    # The configuration.
+
+    def _read(self, text: bytes, proved_at: float, source: str) -> None:
+        try:
+            doc = self._conventions.document(text)
+        except DocumentError as exc:
+            self.explainer.belief("configuration refused", source=source, error=str(exc))
+            return
+        if self.news.take_up(doc, text, proved_at):
+            self.explainer.belief(
+                "configuration in force",
+                version=doc.version,
+                source=source,
+                proof_ms=self.news.age_ms(),
+            )
+
+    def _take_up(self, doc: FleetDocument) -> None:
+        self.quotas.load(doc.limited())
+        self.graph.load({route.name: route.parts[0].service for route in doc.routes})
+        self._tell_all()
+
+    async def _follow(self) -> None:
+        """Follow the configuration in the store."""
+        position = -1
+        while True:
+            asked_at = self.clock.now()
+            try:
+                if position < 0:
+                    watch = await self._store.configuration()
+                else:
+                    watch = await self._store.watch(position, WATCH_S)
+                self._store_state(True, "")
+                position = watch.position
+            except LogError as exc:
+                self._store_state(False, repr(exc))
+                position = -1
+                await asyncio.sleep(STORE_PAUSE_S * self._rng.uniform(0.7, 1.3))
+                continue
+            if watch.text is not None:
+                self._read(watch.text, asked_at, "store")
+            elif self.news.version >= 0:
+                self.news.confirm(self.news.version, asked_at + watch.waited_s)
+            if watch.text is None and not watch.waited_s:
+                await asyncio.sleep(STORE_PAUSE_S)
+
+    def _store_state(self, up: bool, error: str) -> None:
+        if up != self._store_up:
+            self.explainer.belief("store regained" if up else "store lost", error=error)
+        self._store_up = up
+
+    async def _enrol(self) -> None:
+        """Register as a member, and read who the others are.
+
+        Written before it is read: of two that start at once, at least one finds
+        the other.
+        """
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._store.register(self.member)
+                    registered = True
+                for member in await self._store.members():
+                    self._meet(member)
+                await asyncio.sleep(MEMBERS_S * self._rng.uniform(0.8, 1.2))
+            except LogError as exc:
+                self.explainer.belief("members not read", error=repr(exc))
+                await asyncio.sleep(STORE_PAUSE_S * self._rng.uniform(0.7, 1.3))
+
+    # The target on this host.
+
+    def _stated(self, incoming: Incoming) -> bool:
+        statement = self._conventions.statement(incoming)
+        if statement is None:
+            self.explainer.belief("statement ignored", bytes=len(incoming.body))
+            return False
+        if isinstance(statement, Leaving):
+            changed = self.target.leave(statement.target_id)
+        else:
+            assert isinstance(statement, Announcement)
+            changed = self.target.heartbeat(statement)
+        if changed:
+            self.explainer.belief("target", **statement._asdict())
+            self._tell_all()
+        return True
+
+    # Housekeeping.
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.quotas.tick([p.demand for p in self.directory.peers.values()])
+            self.graph.tick([p.calls for p in self.directory.peers.values()])
+            if self.target.tick():
+                self.explainer.belief("target silent")
+                self._tell_all()
+            for peer in self.directory.forget():
+                self._keepers.pop(peer.member.address, None)
+                self.explainer.belief("peer forgotten", peer=peer.member.address)
+            for listener in self._listeners:
+                listener.sweep()
+
+    def ready(self) -> bool:
+        """Tell whether callers should send new work here."""
+        if self.stopping or self.news.document is None:
+            return False
+        fresh = self.news.age_s() <= self.cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S
+        return fresh or not self.news.document.keyed
+
+    # Life.
+
+    async def start(self) -> None:
+        """Open the listeners and start the tasks; raises OSError."""
+        cfg = self.cfg
+        self._server = await listen(cfg.nodes, self)
+        services: list[tuple[HttpService, str]] = [
+            (self.entry, cfg.outbound),
+            (_Ready(self.ready), cfg.ready),
+            (_Control(self._stated), cfg.control),
+        ]
+        if cfg.metrics:
+            services.append((self.metrics, cfg.metrics))
+        self._listeners = [HttpListener(service, self._memory) for service, _ in services]
+        for listener, (_, address) in zip(self._listeners, services, strict=True):
+            await listener.start(address)
+        for run in (self._follow, self._enrol, self._tick, self.explainer.run):
+            task = asyncio.create_task(run())
+            task.add_done_callback(self._task_done)
+            self._tasks.append(task)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        self._logger.info("started", node=cfg.name, nodes=cfg.nodes, data_centre=cfg.data_centre)
+
+    def _task_done(self, task: asyncio.Task[Any]) -> None:
+        # Better to be replaced than to go on without one of the tasks.
+        if not task.cancelled() and task.exception() is not None:
+            self._logger.critical("task failed", error=repr(task.exception()))
+            signal.raise_signal(signal.SIGTERM)
+
+    async def drain(self) -> None:
+        """Refuse new work, finish what runs, and return when nothing is left."""
+        began = self.clock.now()
+        self.stopping = self.entry.stopping = self.target.stopping = True
+        self._logger.info("stopping", runs=self.target.in_flight, requests=self.entry.in_flight)
+        self._tell_all()
+        last = began + max(0.0, self.cfg.stop_s - LAST_S)
+        with contextlib.suppress(LogError):
+            async with asyncio.timeout(1.0):
+                await self._store.deregister(self.cfg.nodes)
+        while self.clock.now() < last:
+            waited = self.clock.now() - began
+            if waited >= LEAVE_QUIET_S and not self.target.in_flight and not self.entry.in_flight:
+                break
+            await asyncio.sleep(0.05)
+        self._logger.info(
+            "stopped", runs=self.target.in_flight, requests=self.entry.in_flight
+        )
+
+    async def close(self) -> None:
+        """End all tasks and connections."""
+        self.explainer.flush()
+        for listener in self._listeners:
+            listener.stop()
+            listener.close_idle()
+        self._server.close()
+        for task in [*self._tasks, *self._keepers.values()]:
+            task.cancel()
+        self._store.close()
+
+
+async def serve(
+    node: MeshNode, reread: Callable[[], MeshSettings], changed: Callable[[], bool]
+) -> None:
+    """Run a node until SIGTERM. ``reread`` returns the settings anew."""
+    loop = asyncio.get_running_loop()
+    stop, reload = asyncio.Event(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    await node.start()
+    watching = asyncio.create_task(_reload(node, reread, changed, reload))
+    await stop.wait()
+    watching.cancel()
+    await node.drain()
+    await node.close()
+
+
+async def _reload(
+    node: MeshNode,
+    reread: Callable[[], MeshSettings],
+    changed: Callable[[], bool],
+    asked: asyncio.Event,
+) -> None:
+    while True:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await asked.wait()
+        if not asked.is_set() and not changed():
+            continue
+        asked.clear()
+        try:
+            node.cfg = reread()
+            node.explainer.belief("settings reloaded", service=node.cfg.service)
+        except SettingsError as exc:
+            node.explainer.belief("settings kept", error=str(exc))
--- /dev/null
+++ b/beryldrum/mesh/settings.py
@@ -0,0 +1,88 @@
+"""The settings of a mesh node, read from YAML and checked.
+
+:func:`parse` raises :class:`~beryldrum.errors.SettingsError` with every fault, its
+line, its field and what was expected. Fields that it does not know are left to
+later versions.
+"""
+
+from pathlib import Path
+from typing import NamedTuple
+
+from ..errors import SettingsError
+from ..settings import is_address
+from ..yamlfile import Faults, Section, load
+
+__all__ = ["MeshSettings", "parse", "read"]
+
+
+class MeshSettings(NamedTuple):
+    """What a mesh node is told about itself. Addresses are ``ip:port``."""
+
+    name: str
+    data_centre: str
+    service: str
+    outbound: str
+    nodes: str
+    ready: str
+    control: str
+    store: str
+    memory_mb: int
+    metrics: str = ""
+    key_withdrawal_ms: float = 5_000.0
+    """Time after which a withdrawn key must not work anywhere."""
+    stop_s: float = 6.0
+    """Time from SIGTERM until the process is killed."""
+    retry_ratio: float = 0.2
+    """Retries allowed in the fleet, as a share of requests."""
+    retry_slack: float = 50.0
+    """Retries allowed in the fleet besides, in ten seconds."""
+    log_level: str = "info"
+
+
+def _address(section: Section, field: str, default: str | None = None) -> str:
+    value = section.text(field, default)
+    if value and not is_address(value):
+        section.fail(field, "expected ip:port")
+    return value
+
+
+def _build(section: Section) -> MeshSettings:
+    base = MeshSettings("", "", "", "", "", "", "", "", 0)
+    cfg = MeshSettings(
+        name=section.text("name"),
+        data_centre=section.text("data_centre"),
+        service=section.text("service", ""),
+        outbound=_address(section, "outbound"),
+        nodes=_address(section, "nodes"),
+        ready=_address(section, "ready"),
+        control=_address(section, "control"),
+        store=_address(section, "store"),
+        memory_mb=section.integer("memory_mb", 32, 1_048_576, 256),
+        metrics=_address(section, "metrics", ""),
+        key_withdrawal_ms=section.number("key_withdrawal_ms", 1_000, 86_400_000, 5_000),
+        stop_s=section.number("stop_s", 0, 3_600, base.stop_s),
+        retry_ratio=section.number("retry_ratio", 0, 10, base.retry_ratio),
+        retry_slack=section.number("retry_slack", 0, 1_000_000, base.retry_slack),
+        log_level=section.choice("log_level", ("debug", "info", "warning", "error"), "info"),
+    )
+    section.close()
+    return cfg
+
+
+def parse(text: str, name: str = "settings") -> MeshSettings:
+    """Return the checked settings in ``text``; raises SettingsError."""
+    faults = Faults(name)
+    cfg = load(text, faults, _build)
+    if faults.all():
+        raise SettingsError(faults.all())
+    assert isinstance(cfg, MeshSettings)
+    return cfg
+
+
+def read(path: str) -> MeshSettings:
+    """Return the checked settings in the file at ``path``; raises SettingsError."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError((f"{path}:1: file: cannot be read: {exc}",)) from exc
+    return parse(text, path)
--- /dev/null
+++ b/beryldrum/platform/conventions.py
@@ -0,0 +1,159 @@
+"""Requests, answers and statements as they are on the platform's wire."""
+
+import msgspec
+
+from ..errors import DocumentError
+from ..mesh.conventions import Asked, Conventions, Handover, Judgement, Leaving, Statement
+from ..mesh.document import FleetDocument
+from ..mesh.http import Header, Incoming, Response
+from ..mesh.target import DRAINING, READY, Announcement
+from . import documents
+
+__all__ = ["PlatformConventions"]
+
+REQUEST_ID = b"X-Request-Id"
+DEADLINE_MS = b"X-Deadline-Milliseconds"
+SIGNATURE = b"x-server-signature"
+ORGANISATION = b"X-Tenant"
+EXPECTED_TARGET = b"X-Expected-Instance"
+NOT_RUN = b"x-not-executed"
+CALLER = b"X-Caller-Service"
+MISDIRECTED = 421
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+OURS = frozenset(
+    name.lower()
+    for name in (b"Authorization", DEADLINE_MS, ORGANISATION, EXPECTED_TARGET, CALLER)
+)
+DROPPED = HOP_BY_HOP | OURS
+
+HEARTBEAT = "instances.heartbeat"
+LEAVE = "instances.deregister"
+
+
+class _Information(msgspec.Struct):
+    service: str
+    zone: str
+    slots: int
+
+
+class _Status(msgspec.Struct):
+    state: str
+    sequence: int
+    cold_remaining_ms: float = 0
+
+
+class _Heartbeat(msgspec.Struct):
+    address: str
+    information: _Information
+    status: _Status
+    born: int = 0
+
+
+_heartbeat = msgspec.json.Decoder(_Heartbeat)
+
+
+class PlatformConventions(Conventions):
+    """The platform's headers and bodies."""
+
+    echo = REQUEST_ID.lower()
+
+    def asked(self, incoming: Incoming) -> Asked | None:
+        headers = incoming.headers
+        request_id = headers.get(self.echo, b"").decode("latin-1")
+        left = headers.get(DEADLINE_MS.lower(), b"").strip()
+        if not request_id or (left and not left.isdigit()) or not incoming.target.startswith("/"):
+            return None
+        scheme, _, key = headers.get(b"authorization", b"").decode("latin-1").partition(" ")
+        host = headers.get(b"host", b"").decode("latin-1").lower()
+        return Asked(
+            request_id,
+            host.partition(":")[0],
+            incoming.target.partition("?")[0],
+            int(left) if left else -1,
+            key.strip() if scheme.lower() == "bearer" else "",
+        )
+
+    def forwarded(self, lines: list[Header], organisation: str, caller: str) -> bytes:
+        named = _connection_named(lines)
+        kept = [b"%s: %s\r\n" % pair for pair in lines if pair[0].lower() not in named]
+        kept.append(b"%s: %s\r\n" % (CALLER, caller.encode()))
+        if organisation:
+            kept.append(b"%s: %s\r\n" % (ORGANISATION, organisation.encode()))
+        return b"".join(kept)
+
+    def handover(self, told: Handover) -> bytes:
+        return b"%s: %s\r\n%s: %d\r\n" % (
+            EXPECTED_TARGET,
+            told.target_id.encode(),
+            DEADLINE_MS,
+            told.left_ms,
+        )
+
+    def judge(self, response: Response) -> Judgement:
+        if response.status == MISDIRECTED or response.header(NOT_RUN):
+            return Judgement.NOT_RUN
+        if 200 <= response.status < 300 and not response.header(SIGNATURE):
+            return Judgement.NOT_ITS_OWN
+        return Judgement.FAILED if response.status >= 500 else Judgement.ANSWERED
+
+    def returned(self, response: Response) -> bytes:
+        named = _connection_named(response.headers)
+        return b"".join(b"%s: %s\r\n" % p for p in response.headers if p[0].lower() not in named)
+
+    def refusal(self, request_id: str, retry_after_s: float) -> bytes:
+        head = b"%s: %s\r\n" % (REQUEST_ID, request_id.encode("latin-1")) if request_id else b""
+        return head + (b"Retry-After: %.3f\r\n" % retry_after_s if retry_after_s > 0 else b"")
+
+    def statement(self, incoming: Incoming) -> Statement | None:
+        query = dict(part.partition("=")[::2] for part in incoming.target.partition("?")[2].split("&"))
+        call, target_id = query.get("call", ""), query.get("of", "")
+        if call == LEAVE and target_id:
+            return Leaving(target_id)
+        if call != HEARTBEAT or not target_id:
+            return None
+        try:
+            said = _heartbeat.decode(incoming.body)
+        except (msgspec.DecodeError, ValueError):
+            return None
+        info, status = said.information, said.status
+        if status.state not in (READY, DRAINING) or info.slots < 1 or not info.service:
+            return None
+        return Announcement(
+            target_id,
+            info.service,
+            said.address,
+            info.zone,
+            info.slots,
+            status.state,
+            status.sequence,
+            status.cold_remaining_ms / 1000,
+            said.born,
+        )
+
+    def document(self, text: bytes) -> FleetDocument:
+        try:
+            return documents.decode(text)
+        except (msgspec.MsgspecError, ValueError, KeyError, TypeError) as exc:
+            raise DocumentError((f"configuration: {exc}",)) from exc
+
+
+def _connection_named(lines: list[Header]) -> frozenset[bytes]:
+    for name, value in lines:
+        if name.lower() == b"connection":
+            return DROPPED | {part.strip().lower() for part in value.split(b",")}
+    return DROPPED
--- /dev/null
+++ b/beryldrum/platform/documents.py
@@ -0,0 +1,119 @@
+"""The operator's configuration record as a document of the fleet."""
+
+from typing import Any
+
+import msgspec
+
+from ..mesh.document import FleetDocument, Limits, Organisation, Part, Route, Service
+
+__all__ = ["decode"]
+
+IDEMPOTENT = "safe"
+"""The kind of route whose requests may run more than once."""
+
+LONGEST_S = 600.0
+"""Time limit of a route that states none."""
+
+
+class _Table(msgspec.Struct):
+    columns: list[str]
+    rows: list[list[Any]]
+
+    def records(self) -> list[dict[str, Any]]:
+        """Return the rows by column, without what is null."""
+        return [
+            {name: value for name, value in zip(self.columns, row, strict=True) if value is not None}
+            for row in self.rows
+        ]
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = Limits().header_bytes
+    max_body_bytes: int = Limits().body_bytes
+    header_timeout_ms: float = Limits().header_s * 1000
+    idle_timeout_ms: float = Limits().idle_s * 1000
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: _Table
+    services: _Table
+    tenants: _Table = msgspec.field(default_factory=lambda: _Table([], []))
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    service: str = ""
+    weighted_services: list[_Split] = []
+    timeout_ms: float = LONGEST_S * 1000
+    target_latency_ms: float = 0
+    attempts: int = 1
+    priority: int = 0
+    public: bool = False
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 0
+
+
+class _Organisation(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    requests_per_s: float = 0
+    burst: float = 0
+
+
+_decoder = msgspec.json.Decoder(_Config)
+
+
+def decode(text: bytes) -> FleetDocument:
+    """Return the document in ``text``; raises ValueError and MsgspecError."""
+    cfg = _decoder.decode(text)
+    organisations: dict[str, Organisation] = {}
+    for record in cfg.tenants.records():
+        row = msgspec.convert(record, _Organisation)
+        org = Organisation(row.name, row.priority, row.requests_per_s, row.burst)
+        organisations.update(dict.fromkeys(row.api_keys, org))
+    services = [msgspec.convert(record, _Service) for record in cfg.services.records()]
+    limits = cfg.limits
+    return FleetDocument(
+        cfg.version,
+        tuple(_route(msgspec.convert(record, _Route)) for record in cfg.routes.records()),
+        {row.name: Service(row.name, row.max_connections) for row in services},
+        organisations,
+        Limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(row: _Route) -> Route:
+    parts = tuple(Part(part.service, part.weight) for part in row.weighted_services)
+    if not parts and not row.service:
+        raise ValueError(f"route {row.name} names no service")
+    return Route(
+        row.name,
+        row.host.lower(),
+        row.path_prefix,
+        parts or (Part(row.service, 1.0),),
+        row.kind == IDEMPOTENT,
+        row.timeout_ms / 1000,
+        (row.target_latency_ms or row.timeout_ms) / 1000,
+        max(1, row.attempts),
+        row.priority,
+        row.public,
+    )
--- /dev/null
+++ b/beryldrum/platform/store.py
@@ -0,0 +1,153 @@
+"""The platform's metadata store, over HTTP."""
+
+import asyncio
+import base64
+import struct
+from typing import NamedTuple
+
+import msgspec
+
+from ..errors import LogDownError, LogSilentError, LogTruncatedError, TargetLostError, TargetUnreachedError
+from ..mesh.frames import Member
+from ..mesh.http import Pool, Response
+from ..mesh.store import Store, Watch
+
+__all__ = ["PlatformStore"]
+
+OPERATOR_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+MEMBERS_TOPIC = "keyed.beryldrum-nodes"
+
+TIMEOUT_S = 1.0
+"""A call that does not wait is answered in some ms, in a quarter of a second when slow."""
+
+ENDS = struct.Struct(">QQ")
+LENGTH = struct.Struct(">I")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    """In base64."""
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    end_offset: int
+
+
+class _Gone(msgspec.Struct):
+    first_offset: int = 0
+
+
+class _Record(NamedTuple):
+    key: str
+    value: bytes
+
+
+_newest = msgspec.json.Decoder(_Newest)
+_member = msgspec.msgpack.Decoder(Member)
+
+
+class PlatformStore(Store):
+    """The store at an address. Calls that wait have a connection of their own."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._pool = Pool(address)
+
+    async def configuration(self) -> Watch:
+        page = await self._page(OPERATOR_TOPIC, "")
+        texts = [item.value for item in page.items if item.key == CONFIG_KEY]
+        text = base64.b64decode(texts[0]) if texts else None
+        return Watch(text, page.end_offset, 0.0)
+
+    async def watch(self, position: int, wait_s: float) -> Watch:
+        wait_ms = int(wait_s * 1000)
+        response = await self._call(
+            "GET",
+            f"/log-read?topic={OPERATOR_TOPIC}&part=0&from={position}&wait_ms={wait_ms}",
+            timeout_s=wait_s + TIMEOUT_S,
+        )
+        if response.status == 410:
+            return await self.configuration()
+        end, _ = ENDS.unpack_from(response.body)
+        records = _records(response.body[ENDS.size :])
+        texts = [record.value for record in records if record.key == CONFIG_KEY and record.value]
+        if texts:
+            return Watch(texts[-1], position + len(records), 0.0)
+        if records:
+            return Watch(None, position + len(records), 0.0)
+        return Watch(None, max(position, end), wait_ms / 1000)
+
+    async def register(self, member: Member) -> None:
+        await self._put(member.address, msgspec.msgpack.encode(member))
+
+    async def deregister(self, address: str) -> None:
+        await self._put(address, b"")
+
+    async def _put(self, key: str, value: bytes) -> None:
+        data = bytes((len(key),)) + key.encode() + value
+        path = f"/log-append?topic={MEMBERS_TOPIC}&part=0"
+        await self._call("POST", path, LENGTH.pack(len(data)) + data)
+
+    async def members(self) -> list[Member]:
+        found: list[Member] = []
+        after, more = "", True
+        while more:
+            page = await self._page(MEMBERS_TOPIC, after)
+            found.extend(m for m in map(_decoded, page.items) if m is not None)
+            more = page.has_more and bool(page.items)
+            after = page.items[-1].key if page.items else ""
+        return found
+
+    async def _page(self, topic: str, after: str) -> _Newest:
+        more = f"&after={after}" if after else ""
+        response = await self._call("GET", f"/log-newest?topic={topic}&part=0{more}")
+        try:
+            return _newest.decode(response.body)
+        except (msgspec.DecodeError, ValueError) as exc:
+            raise LogDownError(f"unreadable page of {topic}: {exc}") from exc
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", timeout_s: float = TIMEOUT_S
+    ) -> Response:
+        """Make a call and return its answer; a 410 is the caller's to understand.
+
+        Raises LogDownError where the store said that it did nothing, LogSilentError
+        where it said nothing.
+        """
+        size = b"Content-Length: %d\r\n" % len(body) if method == "POST" else b""
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n".encode()
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self._pool.request(head + size + b"\r\n" + body)
+        except (TargetUnreachedError, TargetLostError, TimeoutError) as exc:
+            raise LogSilentError(f"{path}: {exc!r}") from exc
+        if response.status in (200, 410):
+            return response
+        raise LogDownError(f"{path}: {response.status}")
+
+    def close(self) -> None:
+        self._pool.close()
+
+
+def _records(data: bytes) -> list[_Record]:
+    records, start = [], 0
+    while start + LENGTH.size < len(data):
+        (length,) = LENGTH.unpack_from(data, start)
+        start += LENGTH.size
+        record = data[start : start + length]
+        start += length
+        key_end = 1 + record[0]
+        records.append(_Record(record[1:key_end].decode("utf-8", "replace"), record[key_end:]))
+    return records
+
+
+def _decoded(item: _Item) -> Member | None:
+    try:
+        return _member.decode(base64.b64decode(item.value))
+    except (msgspec.DecodeError, ValueError):
+        return None
--- a/beryldrum/request.py
+++ b/beryldrum/request.py
@@ -24,6 +24,9 @@
 COHORTS = 64
 """Cohorts that one importance level is split into for shedding."""
 
+LOWEST = 3
+"""The least important level."""
+
 NO_LEVEL = 4 * COHORTS
 """The admission level that sheds nothing."""
 
@@ -53,6 +56,7 @@
 NO_KEY = Reason("key-missing", 401, "no key was shown")
 BAD_KEY = Reason("key-unknown", 401, "the key is not in force")
 KEYS_STALE = Reason("keys-stale", 503, "whether the key is in force cannot be known here")
+NO_CONFIG = Reason("configuration-stale", 503, "the configuration in force is not known here")
 NO_ROUTE = Reason("route-unknown", 404, "no document states such a route")
 NOT_OPEN = Reason("route-closed", 403, "the route is not open to callers outside")
 NOT_OWED = Reason("organisation-unknown", 403, "the document owes the organisation nothing")
--- a/beryldrum/retry.py
+++ b/beryldrum/retry.py
@@ -48,14 +48,16 @@
 
 
 class Budget:
-    """Bounds retries to a tenth of the requests of a node, with a small burst."""
+    """Bounds the retries of a node to a part of its requests, with a small burst."""
 
-    def __init__(self) -> None:
-        self._left = BUDGET_BURST
+    def __init__(self, ratio: float = BUDGET_RATIO, burst: float = BUDGET_BURST) -> None:
+        self._ratio = ratio
+        self._burst = burst
+        self._left = burst
 
     def deposit(self) -> None:
         """Count a first attempt."""
-        self._left = min(BUDGET_BURST, self._left + BUDGET_RATIO)
+        self._left = min(self._burst, self._left + self._ratio)
 
     def spend(self) -> bool:
         """Take one retry; returns False when the budget is used up."""
