Rates from one bucket for the whole fleet; placement by the times seen

Cause: equal parts of a rate with unevenly spread callers refused what was owed; routes with a time limit near the run time of a slow target failed there.

--- a/beryldrum/entry.py
+++ b/beryldrum/entry.py
@@ -14,6 +14,7 @@
 from .ledger import born_ms
 from .request import (
     COHORTS,
+    LOWEST,
     NO_LEVEL,
     Headers,
     Outcome,
--- a/beryldrum/mesh/directory.py
+++ b/beryldrum/mesh/directory.py
@@ -4,6 +4,7 @@
 
 from ..clock import Clock
 from .frames import Load, Member, State
+from .quota import Report, Use
 
 __all__ = ["Directory", "Peer"]
 
@@ -12,6 +13,18 @@
 again if it is still a member."""
 
 
+TOOK_LIFE_S = 3.0
+"""Age from which on a time that was seen says nothing: the target is tried again."""
+
+TOOK_WEIGHT = 0.2
+"""Weight of the newest time in the smoothed one."""
+
+
+class _Took(NamedTuple):
+    seconds: float
+    at: float
+
+
 class Peer:
     """Another node. ``heard_at`` is when its last state was asked for."""
 
@@ -21,12 +34,31 @@
         self.heard_at = float("-inf")
         self.load = Load()
         self.calls: dict[str, float] = {}
-        self.demand: dict[str, float] = {}
+        self.uses: dict[str, Use] = {}
+        self.states = 0
+        """How many states were heard of it."""
         self.stopping = False
         self.connected = False
         self.sent = 0
         """Runs given to it since its load was last heard."""
         self.in_flight = 0
+        self._took: dict[str, _Took] = {}
+
+    def took(self, route: str, seconds: float, now: float) -> None:
+        """Note how long it took to answer a request of a route."""
+        old = self._took.get(route)
+        fresh = old is not None and now - old.at < TOOK_LIFE_S
+        mean = old.seconds + TOOK_WEIGHT * (seconds - old.seconds) if old and fresh else seconds
+        self._took[route] = _Took(mean, now)
+
+    def usual_s(self, route: str, now: float) -> float:
+        """Return how long it takes to answer a request of a route, 0 if not known."""
+        took = self._took.get(route)
+        return took.seconds if took is not None and now - took.at < TOOK_LIFE_S else 0.0
+
+    def fullness(self) -> float:
+        """Return the share of its limit that its target uses, with one more."""
+        return (self.load.busy + self.sent + 1) / max(1, self.load.limit)
 
 
 class Directory:
@@ -57,7 +89,8 @@
             return
         peer.member = state.member
         peer.heard_at = max(peer.heard_at, asked_at)
-        peer.calls, peer.demand = state.calls, state.demand
+        peer.calls, peer.uses = state.calls, state.uses
+        peer.states += 1
         if peer.stopping != state.stopping or peer.load.service != state.load.service:
             self._services = None
         peer.stopping = state.stopping
@@ -85,6 +118,14 @@
                     self._services.setdefault(peer.load.service, []).append(peer)
         return self._services.get(service, [])
 
+    def reports(self) -> list[Report]:
+        """Return what each node has said of the rates that it uses."""
+        return [
+            Report(address, peer.member.incarnation, peer.states, peer.uses)
+            for address, peer in self.peers.items()
+            if not peer.stopping
+        ]
+
     def forget(self) -> list[Peer]:
         """Drop the nodes that were not heard of for long, and return them."""
         now = self._clock.now()
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -166,7 +166,9 @@
         maybe_ran = False
         reply = not_run(request.NO_TARGET, RETRY_SOON_MS)
         while len(tried) < GATES_TRIED:
-            peer = self._placement.choose(self._candidates(work.service), tried)
+            route = work.route
+            candidates = self._candidates(work.service)
+            peer = self._placement.choose(candidates, route.name, route.objective_s, tried)
             if peer is None:
                 break
             tried.add(peer.member.address)
@@ -218,11 +220,15 @@
         except PeerLostError as exc:
             return unknown(request.LOST) if exc.sent else not_run(request.UNREACHED)
         except TimeoutError:
+            peer.took(work.route.name, left_s, now + left_s)
             return unknown(request.TIMED_OUT)
         finally:
             peer.in_flight -= 1
         if reply.load is not None and target is not None:
             self._directory.loaded(peer, reply.load)
+        if reply.handed:
+            ended = self._clock.now()
+            peer.took(work.route.name, ended - now, ended)
         return reply
 
 
--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..errors import FrameError
+from .quota import Use
 
 __all__ = [
     "LENGTH",
@@ -102,8 +103,8 @@
     """What a node says of itself; ``answer`` is false when a state is wanted in return.
 
     ``proof_ms`` is the age of its proof that ``version`` is in force, -1 for none.
-    ``demand`` has requests a second by organisation, ``calls`` the calls that its
-    target made by service called, per run.
+    ``uses`` are its uses of the rates of organisations, ``calls`` the calls that its
+    target makes per run, by the routes run and called.
     """
 
     sequence: int
@@ -112,7 +113,7 @@
     load: Load
     version: int
     proof_ms: int
-    demand: dict[str, float]
+    uses: dict[str, Use]
     calls: dict[str, float]
     stopping: bool = False
 
--- a/beryldrum/mesh/http.py
+++ b/beryldrum/mesh/http.py
@@ -16,7 +16,17 @@
 from ..errors import TargetLostError, TargetUnreachedError
 from .document import Limits
 
-__all__ = ["SINGLE", "BodyMemory", "Header", "HttpListener", "HttpService", "Incoming", "Outgoing", "Pool", "Response"]
+__all__ = [
+    "SINGLE",
+    "BodyMemory",
+    "Header",
+    "HttpListener",
+    "HttpService",
+    "Incoming",
+    "Outgoing",
+    "Pool",
+    "Response",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 """A target on this host or a store in this region accepts within some ms."""
@@ -126,7 +136,7 @@
         self.held -= size
 
 
-class _Refusal(Exception):
+class _RefusalError(Exception):
     """A request that is refused while it is read."""
 
     def __init__(self, status: int) -> None:
@@ -180,7 +190,7 @@
         self.since = time.monotonic()
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, _Refusal) as exc:
+        except (httptools.HttpParserError, _RefusalError) as exc:
             self._refuse(_refusal_status(exc))
 
     # Parser.
@@ -198,27 +208,27 @@
         self._lines.append((name, value))
         low = name.lower()
         if low in self._headers and low in self._service.single:
-            raise _Refusal(400)
+            raise _RefusalError(400)
         self._headers[low] = value
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._service.limits().header_bytes:
-            raise _Refusal(431)
+            raise _RefusalError(431)
 
     def on_headers_complete(self) -> None:
         headers = self._headers
         if b"content-length" in headers and b"transfer-encoding" in headers:
-            raise _Refusal(400)
+            raise _RefusalError(400)
         if headers.get(b"expect", b"").lower() == b"100-continue" and self._transport:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
         if self._body_bytes > self._service.limits().body_bytes:
-            raise _Refusal(413)
+            raise _RefusalError(413)
         if not self._listener.memory.take(len(body)):
-            raise _Refusal(503)
+            raise _RefusalError(503)
         self._held += len(body)
         self._body.append(body)
 
@@ -313,7 +323,7 @@
 def _refusal_status(exc: Exception) -> int:
     cause: BaseException | None = exc
     while cause is not None:
-        if isinstance(cause, _Refusal):
+        if isinstance(cause, _RefusalError):
             return cause.status
         cause = cause.__cause__ or cause.__context__
     return 400
@@ -514,7 +524,11 @@
         self.opened = 0
 
     async def request(
-        self, data: bytes, request_id: bytes = b"", idle_most_s: float = IDLE_MOST_S, head: bool = False
+        self,
+        data: bytes,
+        request_id: bytes = b"",
+        idle_most_s: float = IDLE_MOST_S,
+        head: bool = False,
     ) -> Response:
         """Send a request and return its whole answer.
 
--- a/beryldrum/mesh/links.py
+++ b/beryldrum/mesh/links.py
@@ -91,7 +91,7 @@
 
 
 class Link(LinkHandler):
-    """This node's connection to one other, opened anew when it is lost."""
+    """The connection to one other, opened anew when it is lost."""
 
     def __init__(self, address: str, lost: Callable[["Link"], None]) -> None:
         self.address = address
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -137,7 +137,7 @@
         attempts = Attempts(
             self.clock,
             self.directory,
-            Placement(self._rng, self.cfg.data_centre),
+            Placement(self.clock, self._rng, self.cfg.data_centre),
             self.target.load,
             self._send,
             self._budget,
@@ -238,7 +238,7 @@
             self.target.load(),
             self.news.version,
             self.news.age_ms(),
-            self.quotas.demand(),
+            self.quotas.uses(),
             self.graph.calls(),
             self.stopping,
         )
@@ -392,7 +392,7 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self.quotas.tick([p.demand for p in self.directory.peers.values()])
+            self.quotas.tick(self.directory.reports())
             self.graph.tick([p.calls for p in self.directory.peers.values()])
             if self.target.tick():
                 self.explainer.belief("target silent")
@@ -456,9 +456,7 @@
             if waited >= LEAVE_QUIET_S and not self.target.in_flight and not self.entry.in_flight:
                 break
             await asyncio.sleep(0.05)
-        self._logger.info(
-            "stopped", runs=self.target.in_flight, requests=self.entry.in_flight
-        )
+        self._logger.info("stopped", runs=self.target.in_flight, requests=self.entry.in_flight)
 
     async def close(self) -> None:
         """End all tasks and connections."""
--- a/beryldrum/mesh/placement.py
+++ b/beryldrum/mesh/placement.py
@@ -1,59 +1,76 @@
 """Which target of a service gets a request.
 
-The load it answers: targets of a service differ in speed, and their queues in
-length. Work goes to the target with the most room for its size, of two drawn at
-random; one in the own data centre goes first while it has room, which saves
-bytes between data centres. Targets that fail count as fuller than they are.
+The load it answers: targets of a service differ in speed by more than two, turn
+slow or fail for a while, and their queues differ in length. Of some drawn at
+random the one is taken that is expected to answer first; one in the own data
+centre goes first while its time is short beside the objective, which saves bytes
+between data centres.
 """
 
 import random
 from collections.abc import Sequence
 
+from ..clock import Clock
 from .directory import Peer
-from .frames import Load
 
 __all__ = ["Placement"]
 
+DRAWN = 2
+"""Targets that are compared: with two, no node is overrun by all others at once."""
+
 ROOMY = 0.7
-"""Share of its limit up to which a target of the own data centre is preferred."""
+"""Share of its limit up to which a target in the own data centre is preferred."""
+
+UNHURRIED = 0.25
+"""Share of the objective up to which a target's usual time is short."""
+
+CROWDED = 0.85
+"""Share of its limit from which on a target is expected to slow down."""
 
-AWAY = 0.1
-"""Share of the limit by which a target elsewhere has to be emptier."""
+CROWDING = 4.0
+"""How much a full target is slower than one that is not crowded, in run times for
+each further limit of requests."""
 
-FAILED_WEIGHT = 2.0
-"""How full a target counts for failing all of its runs."""
+FAILED_TIMES = 8.0
+"""Run times that a target costs which fails all its runs."""
+
+AWAY_S = 0.004
+"""Time that a target in another data centre costs, there and back."""
 
 
 class Placement:
-    """Draws the node that a request is sent to."""
+    """Draws the node that a request is sent to, by what this node has seen."""
 
-    def __init__(self, rng: random.Random, data_centre: str) -> None:
+    def __init__(self, clock: Clock, rng: random.Random, data_centre: str) -> None:
+        self._clock = clock
         self._rng = rng
         self._data_centre = data_centre
 
-    def choose(self, peers: Sequence[Peer], tried: set[str]) -> Peer | None:
+    def choose(
+        self, peers: Sequence[Peer], route: str, objective_s: float, tried: set[str]
+    ) -> Peer | None:
         """Return the node to send to, or None when all have been tried."""
-        fresh = [p for p in peers if p.member.address not in tried]
+        fresh = [p for p in peers if p.member.address not in tried] if tried else peers
         if len(fresh) < 2:
             return fresh[0] if fresh else None
+        now = self._clock.now()
         near = [p for p in fresh if p.member.data_centre == self._data_centre]
         if near:
-            best = self._emptier(near)
-            if fullness(best.load, best.sent) < ROOMY:
-                return best
-        return self._emptier(fresh)
+            best = self._draw(near, route, now)
+            if best.fullness() < ROOMY:
+                cost_s = self._cost(best, route, now)
+                if cost_s < objective_s * UNHURRIED:
+                    return best
+        return self._draw(fresh, route, now)
 
-    def _emptier(self, peers: list[Peer]) -> Peer:
+    def _draw(self, peers: Sequence[Peer], route: str, now: float) -> Peer:
         if len(peers) == 1:
             return peers[0]
-        one, two = self._rng.sample(peers, 2)
-        return min(one, two, key=self._cost)
-
-    def _cost(self, peer: Peer) -> float:
-        away = 0.0 if peer.member.data_centre == self._data_centre else AWAY
-        return fullness(peer.load, peer.sent) + away
-
+        drawn = self._rng.sample(peers, DRAWN)
+        return min(drawn, key=lambda peer: self._cost(peer, route, now))
 
-def fullness(load: Load, sent: int) -> float:
-    """Return the share of its limit that a target uses, with ``sent`` more on the way."""
-    return (load.busy + sent + 1) / max(1, load.limit) + load.failed * FAILED_WEIGHT
+    def _cost(self, peer: Peer, route: str, now: float) -> float:
+        away_s = 0.0 if peer.member.data_centre == self._data_centre else AWAY_S
+        run_s = peer.usual_s(route, now)
+        crowding = max(0.0, peer.fullness() - CROWDED) * CROWDING
+        return run_s * (1.0 + crowding + peer.load.failed * FAILED_TIMES) + away_s
--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -1,48 +1,81 @@
 """The rates of organisations, shared between all nodes.
 
 The load it answers: an organisation sends several times its rate, at a few nodes
-or at all. Each node takes the part of the rate that its part of the demand is,
-as last heard from every node. A node that has gone silent keeps its part: it may
-be cut off and still be serving. Parts are lowered at once and raised over some
-ticks, so that their sum stays within the rate while news is on its way.
+or at all. Every node keeps one bucket for the whole fleet and takes out of it what
+each node says it has admitted. Between two looks at it a node may admit the part
+of the bucket that its part of the demand is, so that all together admit no more
+than is there. What a silent node may admit counts as admitted: it may be cut off
+and still be serving.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
+from typing import NamedTuple
 
 from ..clock import Clock
 from .document import Organisation
 
-__all__ = ["Quotas"]
+__all__ = ["Quotas", "Report", "Use"]
 
 DEMAND_S = 1.0
 """Time over which demand is averaged."""
 
-RAISE = 0.3
-"""Part of the way that a share is raised in a tick."""
-
 LEAST_DEMAND = 0.05
 """Requests a second that a node without demand counts for."""
 
-WHOLE = 1.0
-"""A bucket holds at least one request."""
+NEWS_S = 0.5
+"""Age of the news of other nodes, at most, while they can be heard."""
 
 
-class _Bucket:
-    def __init__(self, now: float) -> None:
-        self.rate = 0.0
-        self.cap = 0.0
-        self.tokens = 0.0
-        self.at = now
-        self.count = 0
+class Use(NamedTuple):
+    """A node's use of an organisation's rate.
+
+    ``demand`` is in requests a second, ``admitted`` counts since the node's start,
+    ``level`` is what it believes to be in the fleet's bucket.
+    """
+
+    demand: float
+    admitted: int
+    level: float
+
+
+class Report(NamedTuple):
+    """What was last heard of a node, and how often it has been heard."""
+
+    node: str
+    incarnation: int
+    heard: int
+    uses: dict[str, Use]
+
+
+class _Other:
+    """What this node knows of another one's use."""
+
+    def __init__(self, incarnation: int, admitted: int) -> None:
+        self.incarnation = incarnation
+        self.admitted = admitted
+        self.heard = -1
+        self.assumed = 0.0
         self.demand = 0.0
 
-    def refill(self, now: float) -> None:
-        self.tokens = min(self.cap, self.tokens + self.rate * (now - self.at))
-        self.at = now
+
+class _Bucket:
+    """The fleet's bucket of an organisation, as seen here."""
+
+    def __init__(self) -> None:
+        self.level = 0.0
+        self.adopted = False
+        self.demand = 0.0
+        self.asked = 0
+        self.admitted = 0
+        self.seen = 0
+        self.spent = 0
+        self.budget = 0.0
+        self.total_demand = 0.0
+        self.others: dict[str, _Other] = {}
 
 
 class Quotas:
-    """This node's parts in the rates of all organisations."""
+    """The part of a node in the rates of all organisations."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -55,61 +88,107 @@
         self._organisations = organisations
         for name in self._buckets.keys() - organisations.keys():
             del self._buckets[name]
-        now = self._clock.now()
         for name in organisations:
-            self._buckets.setdefault(name, _Bucket(now))
+            self._buckets.setdefault(name, _Bucket())
 
     def take(self, organisation: str) -> bool:
         """Take one request out of an organisation's part; False when it is used up."""
         bucket = self._buckets.get(organisation)
         if bucket is None:
             return True
-        bucket.count += 1
-        bucket.refill(self._clock.now())
-        if bucket.tokens < 1.0:
+        bucket.asked += 1
+        if bucket.spent + 1 > bucket.budget:
             return False
-        bucket.tokens -= 1.0
+        bucket.spent += 1
+        bucket.admitted += 1
         return True
 
     def give_back(self, organisation: str) -> None:
         """Return a request that has not run."""
         bucket = self._buckets.get(organisation)
         if bucket is not None:
-            bucket.tokens = min(bucket.cap, bucket.tokens + 1.0)
+            bucket.spent -= 1
+            bucket.admitted -= 1
 
     def wait_s(self, organisation: str) -> float:
-        """Return when the next request of an organisation may be taken."""
+        """Return when a request of an organisation may be taken again."""
         bucket = self._buckets.get(organisation)
-        if bucket is None or bucket.rate <= 0.0:
-            return 1.0
-        return max(0.0, (1.0 - bucket.tokens) / bucket.rate)
-
-    def demand(self) -> dict[str, float]:
-        """Return the requests a second by organisation, without those that send none."""
-        return {n: round(b.demand, 2) for n, b in self._buckets.items() if b.demand >= LEAST_DEMAND}
-
-    def tick(self, others: Iterable[Mapping[str, float]]) -> None:
-        """Divide the rates anew by the demand of the ``others``."""
+        if bucket is None:
+            return 0.0
+        short = max(1.0, 1.0 - bucket.level)
+        return short / max(1.0, self._organisations[organisation].rate_per_s)
+
+    def uses(self) -> dict[str, Use]:
+        """Return this node's use by organisation, for the others."""
+        return {
+            name: Use(round(b.demand, 2), b.admitted, round(b.level, 1))
+            for name, b in self._buckets.items()
+            if b.admitted or b.demand >= LEAST_DEMAND
+        }
+
+    def tick(self, reports: Iterable[Report]) -> None:
+        """Divide what is in the buckets anew."""
         now = self._clock.now()
         elapsed = now - self._ticked_at
         if elapsed <= 0.0:
             return
         self._ticked_at = now
-        weight = min(1.0, elapsed / DEMAND_S)
-        listed = list(others)
+        heard = list(reports)
         for name, bucket in self._buckets.items():
-            bucket.refill(now)
-            bucket.demand += weight * (bucket.count / elapsed - bucket.demand)
-            bucket.count = 0
-            self._divide(bucket, self._organisations[name], [d.get(name, 0.0) for d in listed])
+            self._tick(bucket, self._organisations[name], name, heard, elapsed)
+
+    def _tick(
+        self, b: _Bucket, org: Organisation, name: str, heard: list[Report], elapsed: float
+    ) -> None:
+        b.demand += min(1.0, elapsed / DEMAND_S) * (b.asked / elapsed - b.demand)
+        b.asked = 0
+        used = float(b.admitted - b.seen)
+        b.seen = b.admitted
+        levels = []
+        known = {}
+        for report in heard:
+            use = report.uses.get(name, Use(0.0, 0, org.burst))
+            used += self._take_out(b, org, report, use, elapsed)
+            known[report.node] = b.others[report.node]
+            levels.append(use.level)
+        b.others = known
+        if not b.adopted and levels:
+            # A bucket that has just been made knows nothing of what was used.
+            b.adopted = True
+            b.level = min(levels)
+        b.level = min(org.burst, b.level + org.rate_per_s * elapsed - used)
+        b.spent = 0
+        b.budget = self._budget(b, org, elapsed)
+
+    def _take_out(
+        self, b: _Bucket, org: Organisation, report: Report, use: Use, elapsed: float
+    ) -> float:
+        other = b.others.get(report.node)
+        if other is None or other.incarnation != report.incarnation:
+            other = b.others[report.node] = _Other(report.incarnation, use.admitted)
+        if other.heard == report.heard:
+            assumed = org.rate_per_s * elapsed * self._part(b, other.demand)
+            other.assumed += assumed
+            return assumed
+        other.heard = report.heard
+        used = use.admitted - other.admitted - other.assumed
+        other.admitted, other.assumed, other.demand = use.admitted, 0.0, use.demand
+        return used
 
     @staticmethod
-    def _divide(bucket: _Bucket, org: Organisation, others: list[float]) -> None:
-        own = max(bucket.demand, LEAST_DEMAND)
-        total = own + sum(max(d, LEAST_DEMAND) for d in others)
-        spare = max(0.0, org.rate_per_s - total) / (len(others) + 1)
-        part = min(1.0, (own + spare) / (total + spare * (len(others) + 1)))
-        rate, cap = org.rate_per_s * part, max(WHOLE, org.burst * part)
-        bucket.rate = rate if rate < bucket.rate else bucket.rate + RAISE * (rate - bucket.rate)
-        bucket.cap = cap if cap < bucket.cap else bucket.cap + RAISE * (cap - bucket.cap)
-        bucket.tokens = min(bucket.tokens, bucket.cap)
+    def _part(b: _Bucket, demand: float) -> float:
+        return max(demand, LEAST_DEMAND) / max(b.total_demand, LEAST_DEMAND)
+
+    def _budget(self, b: _Bucket, org: Organisation, elapsed: float) -> float:
+        b.total_demand = max(b.demand, LEAST_DEMAND) + sum(
+            max(other.demand, LEAST_DEMAND) for other in b.others.values()
+        )
+        # What nobody asks for is divided evenly, for whoever asks for it first.
+        nodes = len(b.others) + 1
+        spare = max(0.0, org.rate_per_s - b.total_demand) / nodes
+        part = (max(b.demand, LEAST_DEMAND) + spare) / (b.total_demand + spare * nodes)
+        budget = part * (max(0.0, b.level) + org.rate_per_s * elapsed)
+        if budget < 1.0 and b.level >= 1.0 + b.total_demand * NEWS_S:
+            # Far from the limit a small part must not refuse a single request.
+            return 1.0
+        return budget
--- a/beryldrum/mesh/store.py
+++ b/beryldrum/mesh/store.py
@@ -49,5 +49,6 @@
     async def members(self) -> list[Member]:
         """Return all members that are registered."""
 
+    @abstractmethod
     def close(self) -> None:
         """End the connections."""
--- a/beryldrum/mesh/target.py
+++ b/beryldrum/mesh/target.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["DRAINING", "READY", "Announcement", "Announced"]
+__all__ = ["DRAINING", "READY", "Announced", "Announcement"]
 
 READY = "ready"
 DRAINING = "draining"
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -36,8 +36,7 @@
     )
 )
 OURS = frozenset(
-    name.lower()
-    for name in (b"Authorization", DEADLINE_MS, ORGANISATION, EXPECTED_TARGET, CALLER)
+    name.lower() for name in (b"Authorization", DEADLINE_MS, ORGANISATION, EXPECTED_TARGET, CALLER)
 )
 DROPPED = HOP_BY_HOP | OURS
 
@@ -120,7 +119,9 @@
         return head + (b"Retry-After: %.3f\r\n" % retry_after_s if retry_after_s > 0 else b"")
 
     def statement(self, incoming: Incoming) -> Statement | None:
-        query = dict(part.partition("=")[::2] for part in incoming.target.partition("?")[2].split("&"))
+        query = dict(
+            part.partition("=")[::2] for part in incoming.target.partition("?")[2].split("&")
+        )
         call, target_id = query.get("call", ""), query.get("of", "")
         if call == LEAVE and target_id:
             return Leaving(target_id)
--- a/beryldrum/platform/documents.py
+++ b/beryldrum/platform/documents.py
@@ -22,7 +22,11 @@
     def records(self) -> list[dict[str, Any]]:
         """Return the rows by column, without what is null."""
         return [
-            {name: value for name, value in zip(self.columns, row, strict=True) if value is not None}
+            {
+                name: value
+                for name, value in zip(self.columns, row, strict=True)
+                if value is not None
+            }
             for row in self.rows
         ]
 
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from ..errors import LogDownError, LogSilentError, LogTruncatedError, TargetLostError, TargetUnreachedError
+from ..errors import (
+    LogDownError,
+    LogSilentError,
+    TargetLostError,
+    TargetUnreachedError,
+)
 from ..mesh.frames import Member
 from ..mesh.http import Pool, Response
 from ..mesh.store import Store, Watch
