--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -168,7 +168,8 @@
         while len(tried) < GATES_TRIED:
             route = work.route
             candidates = self._candidates(work.service)
-            peer = self._placement.choose(candidates, route.name, route.objective_s, tried)
+            limit_s = min(route.objective_s, route.timeout_s)
+            peer = self._placement.choose(candidates, route.name, limit_s, tried)
             if peer is None:
                 break
             tried.add(peer.member.address)
--- a/beryldrum/mesh/links.py
+++ b/beryldrum/mesh/links.py
@@ -30,6 +30,9 @@
     def message(self, message: frames.Message, link: "LinkProtocol") -> None:
         """Handle a message that came over ``link``."""
 
+    def link_made(self, link: "LinkProtocol") -> None:  # noqa: B027
+        """Note that ``link`` stands."""
+
     @abstractmethod
     def link_lost(self, link: "LinkProtocol") -> None:
         """Note that ``link`` has ended."""
@@ -46,6 +49,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._handler.link_made(self)
 
     def data_received(self, data: bytes) -> None:
         buffer = self._buffer
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -13,7 +13,7 @@
 from ..errors import DocumentError, LogError, PeerLostError, SettingsError
 from ..request import NO_LEVEL
 from ..retry import Budget
-from .conventions import Conventions, Leaving
+from .conventions import Conventions, Leaving, Statement
 from .directory import Directory, Peer
 from .document import FleetDocument, Route
 from .entry import Attempts, Entry, KeyCheck, LevelCheck, RateCheck
@@ -46,9 +46,12 @@
 RECONNECT_MOST_S = 1.0
 """Pauses between attempts to connect to a node; a restarted one is back in a second."""
 
-WATCH_S = 2.0
-"""How long the store holds the question for a new configuration open. Less than half
-of the time in which a withdrawn key must stop working, so that one may be lost."""
+WATCH_SHARE = 0.45
+"""Part of the time for which a proof counts that the store holds the question for a
+new configuration open: less than half, so that one answer may be lost."""
+
+WATCH_MOST_S = 2.0
+"""How long the store holds that question open at most."""
 
 STORE_PAUSE_S = 0.3
 """Pause after a call to the store that failed."""
@@ -125,12 +128,14 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self._store_up = True
         self._memory = BodyMemory(int(cfg.memory_mb * 2**20 * BODY_SHARE))
+        self._proof_s = cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S
+        self._incoming: set[LinkProtocol] = set()
         self.entry = self._make_entry()
         self.news.changed.append(self._take_up)
 
     def _make_entry(self) -> Entry:
         checks = [
-            KeyCheck(self.news, self.cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S),
+            KeyCheck(self.news, self._proof_s),
             LevelCheck(self._level, self._pause_ms),
             RateCheck(self.quotas),
         ]
@@ -226,7 +231,11 @@
         elif isinstance(message, DocumentAsk):
             link.send(Document(message.sequence, self.news.text, self.news.age_ms()))
 
+    def link_made(self, link: LinkProtocol) -> None:
+        self._incoming.add(link)
+
     def link_lost(self, link: LinkProtocol) -> None:
+        self._incoming.discard(link)
         for key in [k for k in self._serving if k[0] is link]:
             self._serving[key].cancel()
 
@@ -251,7 +260,7 @@
 
     def _meet(self, member: Member) -> None:
         peer = self.directory.add(member)
-        if peer is not None and not self.stopping:
+        if peer is not None:
             self._keepers[member.address] = asyncio.create_task(self._keep(peer))
 
     async def _keep(self, peer: Peer) -> None:
@@ -259,7 +268,7 @@
         address = peer.member.address
         link = self._links[address] = Link(address, lambda _: self._lost(peer))
         pause_s = RECONNECT_FIRST_S
-        while address in self.directory.peers and not self.stopping:
+        while address in self.directory.peers:
             try:
                 if not link.open:
                     await link.connect()
@@ -325,13 +334,14 @@
     async def _follow(self) -> None:
         """Follow the configuration in the store."""
         position = -1
+        wait_s = min(WATCH_MOST_S, self._proof_s * WATCH_SHARE)
         while True:
             asked_at = self.clock.now()
             try:
                 if position < 0:
                     watch = await self._store.configuration()
                 else:
-                    watch = await self._store.watch(position, WATCH_S)
+                    watch = await self._store.watch(position, wait_s)
                 self._store_state(True, "")
                 position = watch.position
             except LogError as exc:
@@ -363,8 +373,11 @@
                 if not registered:
                     await self._store.register(self.member)
                     registered = True
-                for member in await self._store.members():
+                members = await self._store.members()
+                for member in members:
                     self._meet(member)
+                # A deregistration of an earlier process may have come late.
+                registered = self.member in members
                 await asyncio.sleep(MEMBERS_S * self._rng.uniform(0.8, 1.2))
             except LogError as exc:
                 self.explainer.belief("members not read", error=repr(exc))
@@ -374,7 +387,7 @@
 
     def _stated(self, incoming: Incoming) -> bool:
         statement = self._conventions.statement(incoming)
-        if statement is None:
+        if statement is None or not self._concerns(statement):
             self.explainer.belief("statement ignored", bytes=len(incoming.body))
             return False
         if isinstance(statement, Leaving):
@@ -387,6 +400,14 @@
             self._tell_all()
         return True
 
+    def _concerns(self, statement: Statement) -> bool:
+        """Tell whether a statement can be of the target on this host."""
+        if isinstance(statement, Leaving):
+            return True
+        doc = self.news.document
+        known = doc is None or statement.service in doc.services
+        return known and statement.address == self.cfg.target
+
     # Housekeeping.
 
     async def _tick(self) -> None:
@@ -407,7 +428,7 @@
         """Tell whether callers should send new work here."""
         if self.stopping or self.news.document is None:
             return False
-        fresh = self.news.age_s() <= self.cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S
+        fresh = self.news.age_s() <= self._proof_s
         return fresh or not self.news.document.keyed
 
     # Life.
@@ -465,6 +486,8 @@
             listener.stop()
             listener.close_idle()
         self._server.close()
+        for link in list(self._incoming):
+            link.abort()
         for task in [*self._tasks, *self._keepers.values()]:
             task.cancel()
         self._store.close()
--- a/beryldrum/mesh/placement.py
+++ b/beryldrum/mesh/placement.py
@@ -3,7 +3,7 @@
 The load it answers: targets of a service differ in speed by more than two, turn
 slow or fail for a while, and their queues differ in length. Of some drawn at
 random the one is taken that is expected to answer first; one in the own data
-centre goes first while its time is short beside the objective, which saves bytes
+centre goes first while its time is short beside the limit, which saves bytes
 between data centres.
 """
 
@@ -21,8 +21,8 @@
 ROOMY = 0.7
 """Share of its limit up to which a target in the own data centre is preferred."""
 
-UNHURRIED = 0.25
-"""Share of the objective up to which a target's usual time is short."""
+UNHURRIED = 0.5
+"""Share of the time limit up to which a target's usual time is short."""
 
 CROWDED = 0.85
 """Share of its limit from which on a target is expected to slow down."""
@@ -47,7 +47,7 @@
         self._data_centre = data_centre
 
     def choose(
-        self, peers: Sequence[Peer], route: str, objective_s: float, tried: set[str]
+        self, peers: Sequence[Peer], route: str, limit_s: float, tried: set[str]
     ) -> Peer | None:
         """Return the node to send to, or None when all have been tried."""
         fresh = [p for p in peers if p.member.address not in tried] if tried else peers
@@ -59,7 +59,7 @@
             best = self._draw(near, route, now)
             if best.fullness() < ROOMY:
                 cost_s = self._cost(best, route, now)
-                if cost_s < objective_s * UNHURRIED:
+                if cost_s < limit_s * UNHURRIED:
                     return best
         return self._draw(fresh, route, now)
 
--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -156,7 +156,9 @@
             # A bucket that has just been made knows nothing of what was used.
             b.adopted = True
             b.level = min(levels)
-        b.level = min(org.burst, b.level + org.rate_per_s * elapsed - used)
+        # What was earned under an earlier, greater burst may still be used.
+        most = max(org.burst, b.level)
+        b.level = min(most, b.level + org.rate_per_s * elapsed - used)
         b.spent = 0
         b.budget = self._budget(b, org, elapsed)
 
--- a/beryldrum/mesh/settings.py
+++ b/beryldrum/mesh/settings.py
@@ -25,6 +25,8 @@
     nodes: str
     ready: str
     control: str
+    target: str
+    """Address of the target on this host."""
     store: str
     memory_mb: int
     metrics: str = ""
@@ -47,7 +49,7 @@
 
 
 def _build(section: Section) -> MeshSettings:
-    base = MeshSettings("", "", "", "", "", "", "", "", 0)
+    base = MeshSettings("", "", "", "", "", "", "", "", "", 0)
     cfg = MeshSettings(
         name=section.text("name"),
         data_centre=section.text("data_centre"),
@@ -56,6 +58,7 @@
         nodes=_address(section, "nodes"),
         ready=_address(section, "ready"),
         control=_address(section, "control"),
+        target=_address(section, "target"),
         store=_address(section, "store"),
         memory_mb=section.integer("memory_mb", 32, 1_048_576, 256),
         metrics=_address(section, "metrics", ""),
--- a/beryldrum/mesh/target.py
+++ b/beryldrum/mesh/target.py
@@ -43,7 +43,8 @@
 
     def heartbeat(self, news: Announcement) -> bool:
         """Take up a heartbeat; returns whether it is news and holds."""
-        if news.born_ms <= self._ended.get(news.target_id, -1):
+        ended_ms = self._ended.get(news.target_id)
+        if ended_ms is not None and news.born_ms <= ended_ms:
             return False
         old = self.current
         if old is not None and not self._follows(old, news):
@@ -53,23 +54,27 @@
 
     @staticmethod
     def _follows(old: Announcement, news: Announcement) -> bool:
-        if news.target_id == old.target_id and news.born_ms == old.born_ms:
+        if (news.target_id, news.born_ms) == (old.target_id, old.born_ms):
             # Draining is not taken back within one incarnation.
-            return news.sequence > old.sequence and not (
-                old.state == DRAINING and news.state == READY
-            )
+            back = old.state == DRAINING and news.state == READY
+            return news.sequence > old.sequence and not back
+        if news.born_ms == old.born_ms == 0:
+            # Targets that do not state their start: a new name is a new start.
+            return news.target_id != old.target_id
         return news.born_ms > old.born_ms
 
-    def leave(self, target_id: str) -> bool:
-        """Note that a target leaves for good; returns whether it was in use."""
+    def leave(self, target_id: str, wall_ms: int) -> bool:
+        """Note that a target leaves for good; returns whether it was in use.
+
+        Of a target that has not been heard of nobody here knows the start: whatever
+        it says that it started before ``wall_ms`` is late.
+        """
         old = self.current
-        if old is None or old.target_id != target_id:
-            # Without a statement of its own its start is not known: any so far.
-            self._ended[target_id] = max(self._ended.get(target_id, 0), old.born_ms if old else 0)
-            return False
-        self._ended[target_id] = old.born_ms
+        known = old is not None and old.target_id == target_id
+        self._ended[target_id] = old.born_ms if old is not None and known else wall_ms
         while len(self._ended) > MOST_ENDED:
             del self._ended[next(iter(self._ended))]
-        left = old.state != DRAINING
+        if old is None or not known:
+            return False
         self.current = old._replace(state=DRAINING)
-        return left
+        return old.state != DRAINING
--- a/beryldrum/mesh/target_side.py
+++ b/beryldrum/mesh/target_side.py
@@ -83,7 +83,7 @@
 
     def leave(self, target_id: str) -> bool:
         """Note that a target leaves; returns whether others have to know."""
-        left = self.announced.leave(target_id)
+        left = self.announced.leave(target_id, self._clock.wall_ms())
         if left:
             self._target = self.announced.current
             self._end_waiting(request.LEAVING)
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import struct
+import time
 from typing import NamedTuple
 
 import msgspec
@@ -71,6 +72,7 @@
 
     async def watch(self, position: int, wait_s: float) -> Watch:
         wait_ms = int(wait_s * 1000)
+        asked_at = time.monotonic()
         response = await self._call(
             "GET",
             f"/log-read?topic={OPERATOR_TOPIC}&part=0&from={position}&wait_ms={wait_ms}",
@@ -85,7 +87,11 @@
             return Watch(texts[-1], position + len(records), 0.0)
         if records:
             return Watch(None, position + len(records), 0.0)
-        return Watch(None, max(position, end), wait_ms / 1000)
+        if end > position:
+            # Records that were dropped before they could be read.
+            return await self.configuration()
+        waited = time.monotonic() - asked_at >= wait_s
+        return Watch(None, position, wait_s if waited else 0.0)
 
     async def register(self, member: Member) -> None:
         await self._put(member.address, msgspec.msgpack.encode(member))
--- /dev/null
+++ b/tests/mesh_fleet.py
@@ -0,0 +1,175 @@
+"""A few mesh nodes with stand-ins on loopback, in one process."""
+
+import asyncio
+import itertools
+import json
+import time
+
+import structlog
+from aiohttp import web
+
+from beryldrum.mesh.http import Pool
+from beryldrum.mesh.node import MeshNode
+from beryldrum.mesh.settings import MeshSettings
+from beryldrum.platform.conventions import PlatformConventions
+from beryldrum.platform.store import PlatformStore
+from beryldrum.standin.endpoint import EndpointStandin
+from beryldrum.standin.platform import PlatformStandin
+from harness.fleet import free_port
+
+HOST = "shop.example"
+KEY = "k-1"
+IDS = itertools.count(1)
+
+
+def table(*rows):
+    """Return rows as the platform writes them: columns, and values in that order."""
+    columns = sorted({name for row in rows for name in row})
+    return {"columns": columns, "rows": [[row.get(name) for name in columns] for row in rows]}
+
+
+def route(name, prefix, service, **more):
+    """Return a route of a configuration."""
+    row = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": "safe",
+        "timeout_ms": 5000,
+        "target_latency_ms": 1000,
+        "priority": 2,
+        "attempts": 2,
+        "public": False,
+        "service": service,
+    }
+    return row | more
+
+
+ROUTES = (
+    route("list", "/list/", "shop"),
+    route("book", "/book/", "shop", kind="unsafe"),
+    route("inner", "/inner/", "stock", public=True),
+)
+
+
+def config(version=1, routes=ROUTES, keys=(KEY,), rate=0, burst=0, **limits):
+    """Return a configuration as the operator writes it."""
+    return json.dumps(
+        {
+            "version": version,
+            "routes": table(*routes),
+            "services": table({"name": "shop"}, {"name": "stock"}),
+            "tenants": table(
+                {
+                    "name": "mart",
+                    "api_keys": list(keys),
+                    "priority": 1,
+                    "requests_per_s": rate,
+                    "burst": burst,
+                }
+            ),
+            "limits": limits,
+        }
+    ).encode()
+
+
+class Host:
+    """A node with its target."""
+
+    def __init__(self, cfg, target):
+        self.cfg = cfg
+        self.target = target
+        self.node = None
+        self.store = None
+
+    async def start(self):
+        self.store = PlatformStore(self.cfg.store)
+        self.node = MeshNode(self.cfg, PlatformConventions(), self.store, structlog.get_logger())
+        await self.node.start()
+
+    async def announce(self, sequence=1, state="ready", born=1, **changes):
+        """Send a heartbeat of the target; returns the status of the answer."""
+        information = {"service": self.cfg.service, "zone": self.cfg.data_centre, "slots": 4}
+        beat = {
+            "address": self.cfg.target,
+            "information": information,
+            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
+            "born": born,
+        }
+        body = json.dumps(beat | changes).encode()
+        path = f"/rpc?call=instances.heartbeat&of={self.target.target_id}"
+        return (await call(self.cfg.control, "POST", path, body=body)).status
+
+    async def ask(self, path="/list/1", method="GET", key=KEY, left_ms=3000, body=b"", **headers):
+        """Send a request as a caller on this host does."""
+        more = {"X-Deadline-Milliseconds": str(left_ms)} if left_ms else {}
+        if key:
+            more["Authorization"] = f"Bearer {key}"
+        return await call(self.cfg.outbound, method, path, body, more | headers)
+
+
+async def call(address, method, path, body=b"", headers=()):
+    """Send one request on a connection of its own and return the answer."""
+    lines = {"Host": HOST, "X-Request-Id": f"r{next(IDS)}"} | dict(headers)
+    if body:
+        lines["Content-Length"] = str(len(body))
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items() if value is not None)
+    pool = Pool(address)
+    try:
+        return await pool.request(f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body)
+    finally:
+        pool.close()
+
+
+async def until(condition, seconds=10.0):
+    """Wait for a condition; raises TimeoutError."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class Fleet:
+    """Nodes, their targets and a store; used as ``async with Fleet("shop", ...)``."""
+
+    def __init__(self, *services, **settings):
+        self._services = services
+        self._settings = settings
+        self.store = PlatformStandin()
+        self.hosts = []
+
+    async def __aenter__(self):
+        store = f"127.0.0.1:{free_port()}"
+        self._runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", int(store.rpartition(":")[2])).start()
+        for number, service in enumerate(self._services):
+            ports = [f"127.0.0.1:{free_port()}" for _ in range(5)]
+            cfg = MeshSettings(f"h{number}", f"dc{number % 2}", service, *ports, store, 64)
+            host = Host(cfg._replace(**self._settings), EndpointStandin(f"i-{number}"))
+            await host.target.start(cfg.target)
+            await host.start()
+            self.hosts.append(host)
+        return self
+
+    async def serve(self, text=None):
+        """Publish a configuration and announce all targets; returns the hosts."""
+        self.store.publish(text or config())
+        born = time.time_ns() // 1_000_000
+        for host in self.hosts:
+            await until(lambda host=host: host.node.news.document is not None)
+            await host.announce(born=born)
+        others = len(self.hosts) - 1
+        for host in self.hosts:
+            peers = host.node.directory.peers
+            await until(
+                lambda peers=peers: (
+                    sum(p.connected and bool(p.load.service) for p in peers.values()) == others
+                )
+            )
+        return self.hosts
+
+    async def __aexit__(self, *_):
+        for host in self.hosts:
+            host.target.stop()
+            await host.node.close()
+        await self._runner.cleanup()
--- /dev/null
+++ b/tests/test_mesh_requests.py
@@ -0,0 +1,189 @@
+"""Requests through real nodes: whole own answers, at most once, *not run* is true."""
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from beryldrum.mesh.http import Pool
+
+from .mesh_fleet import HOST, KEY, Fleet, config, route, until
+
+SIGNED = b"s"
+
+
+class RequestsTest(unittest.IsolatedAsyncioTestCase):
+    """What callers and targets see."""
+
+    @parameterized.expand(
+        [
+            # what the target does, path, method, status, runs at the target
+            ("answers", "", "/list/1", "GET", 200, 1),
+            ("an answer to another request comes first", "other", "/list/1", "GET", 200, 1),
+            ("no length", "unframed", "/list/1", "GET", 200, 1),
+            ("its own failure", "fail", "/list/1", "GET", 500, 1),
+            ("full, then not", "full", "/list/1", "GET", 200, 1),
+            ("another instance has the address", "moved", "/book/1", "POST", 200, 1),
+            ("broken off, repeatable", "half", "/list/1", "GET", 200, 2),
+            ("closed, repeatable", "cut", "/list/1", "GET", 200, 2),
+            ("broken off, once only", "half", "/book/1", "POST", 504, 1),
+            ("closed, once only", "cut", "/book/1", "POST", 504, 1),
+            ("a success not its own, once only", "unsigned", "/book/1", "POST", 504, 1),
+        ]
+    )
+    async def test_target(self, _, word, path, method, status, runs):
+        async with Fleet("shop", "shop") as fleet:
+            hosts = await fleet.serve()
+            # Whichever target is asked first does what the script says.
+            hosts[0].target.script.append(word)
+            hosts[1].target.script = hosts[0].target.script
+            response = await hosts[0].ask(path, method, body=b"x" if method == "POST" else b"")
+            self.assertEqual(status, response.status, response)
+            ran = [run for host in hosts for run in host.target.runs]
+            self.assertEqual(runs, len(ran))
+            if status == 200:
+                self.assertEqual(b"done", response.body)
+                self.assertEqual(SIGNED, response.header(b"x-server-signature"))
+
+    async def test_what_a_target_is_told(self):
+        async with Fleet("shop", "stock") as fleet:
+            shop, stock = await fleet.serve()
+            await stock.ask(
+                "/list/1?q=%2e%2e", **{"X-Tenant": "thief", "X-Caller-Service": "thief", "X-A": "b"}
+            )
+            (run,) = shop.target.runs
+            self.assertNotIn("authorization", run)
+            self.assertEqual("mart", run["x-tenant"])
+            self.assertEqual("stock", run["x-caller-service"])
+            self.assertEqual("i-0", run["x-expected-instance"])
+            self.assertEqual("b", run["x-a"])
+            self.assertLessEqual(int(run["x-deadline-milliseconds"]), 3000)
+
+    @parameterized.expand(
+        [
+            ("an unknown key", "/list/1", {"key": "k-2"}, 401),
+            ("no key", "/list/1", {"key": ""}, 401),
+            ("an unknown path", "/other/1", {}, 404),
+            ("a prefix without its slash", "/list", {}, 404),
+            ("an unknown host", "/list/1", {"Host": "elsewhere.example"}, 404),
+            ("no key on an open route", "/inner/1", {"key": ""}, 200),
+            ("a host in capitals, with a port", "/list/1", {"Host": HOST.upper() + ":80"}, 200),
+            ("no id", "/list/1", {"X-Request-Id": None}, 400),
+            ("a deadline that is no number", "/list/1", {"X-Deadline-Milliseconds": "soon"}, 400),
+            ("no deadline", "/list/1", {"left_ms": 0}, 200),
+            (
+                "two lengths",
+                "/list/1",
+                {"Content-Length": "3", "Transfer-Encoding": "chunked"},
+                400,
+            ),
+        ]
+    )
+    async def test_refusals(self, _, path, more, status):
+        async with Fleet("shop", "stock") as fleet:
+            shop, _stock = await fleet.serve()
+            response = await shop.ask(path, **more)
+            self.assertEqual(status, response.status)
+            ran = sum(len(host.target.runs) for host in fleet.hosts)
+            self.assertEqual(1 if status == 200 else 0, ran)
+
+    async def test_bodies_arrive_whole_and_are_bounded(self):
+        async with Fleet("shop") as fleet:
+            (shop,) = await fleet.serve(config(max_body_bytes=1000))
+            self.assertEqual(200, (await shop.ask("/book/1", "POST", body=b"y" * 1000)).status)
+            self.assertEqual([b"y" * 1000], shop.target.bodies)
+            self.assertEqual(413, (await shop.ask("/book/1", "POST", body=b"y" * 1001)).status)
+            self.assertEqual(1, len(shop.target.runs))
+
+    async def test_time_limit_of_the_route_ends_the_wait(self):
+        routes = (route("list", "/list/", "shop", timeout_ms=300),)
+        async with Fleet("shop") as fleet:
+            (shop,) = await fleet.serve(config(routes=routes))
+            shop.target.script.append("hang")
+            self.assertEqual(504, (await shop.ask()).status)
+            await until(lambda: shop.target.dropped == 1)
+
+    @parameterized.expand(
+        [("repeatable", "/list/1", "GET", 1), ("once only", "/book/1", "POST", 0)]
+    )
+    async def test_a_caller_that_leaves(self, _, path, method, dropped):
+        async with Fleet("shop", "stock") as fleet:
+            shop, stock = await fleet.serve()
+            shop.target.script.append("hang")
+            asking = asyncio.create_task(stock.ask(path, method, left_ms=1500))
+            await until(lambda: len(shop.target.runs) == 1)
+            asking.cancel()
+            if dropped:
+                await until(lambda: shop.target.dropped == 1)
+            else:
+                await until(lambda: stock.node.entry.in_flight == 0)
+                # What may run only once is let run to its end.
+                self.assertEqual(0, shop.target.dropped)
+
+    async def test_a_leaving_target_gets_nothing_new(self):
+        async with Fleet("shop", "shop") as fleet:
+            one, two = await fleet.serve()
+            await one.announce(sequence=2, state="draining", born=10**15)
+            for _ in range(20):
+                self.assertEqual(200, (await one.ask()).status)
+            self.assertEqual([], one.target.runs)
+            self.assertEqual(20, len(two.target.runs))
+
+    async def test_nothing_is_lost_when_a_node_stops(self):
+        async with Fleet("shop", "shop", stop_s=4.0) as fleet:
+            one, two = await fleet.serve()
+            for host in (one, two):
+                host.target.script.extend(["slow"] * 40)
+            asking = [asyncio.create_task(host.ask()) for host in (one, two) for _ in range(3)]
+            await until(lambda: len(one.target.runs) + len(two.target.runs) >= 6)
+            draining = asyncio.create_task(one.node.drain())
+            await asyncio.sleep(0)
+            self.assertFalse(one.node.ready())
+            # A caller may not have noticed yet.
+            asking += [asyncio.create_task(one.ask()) for _ in range(3)]
+            answers = [(await task).status for task in asking]
+            await draining
+            self.assertEqual([200] * 9, answers)
+
+    async def test_a_withdrawn_key_stops_without_news(self):
+        async with Fleet("shop", key_withdrawal_ms=1400) as fleet:
+            (shop,) = await fleet.serve()
+            fleet.store.faults = fleet.store.faults._replace(down=True)
+            self.assertEqual(200, (await shop.ask()).status)
+            await until(lambda: shop.node.news.age_s() > 1.0)
+            response = await shop.ask()
+            self.assertEqual(503, response.status)
+            self.assertFalse(shop.node.ready())
+            fleet.store.publish(config(version=2, keys=("k-3",)))
+            fleet.store.faults = fleet.store.faults._replace(down=False)
+            await until(lambda: shop.node.news.version == 2)
+            self.assertEqual(401, (await shop.ask(key=KEY)).status)
+            self.assertEqual(200, (await shop.ask(key="k-3")).status)
+
+    async def test_news_travel_between_nodes_when_the_store_serves_one(self):
+        async with Fleet("shop", "shop") as fleet:
+            one, two = await fleet.serve()
+            # The store turns one node away: its calls go nowhere.
+            two.store._pool = Pool("127.0.0.1:1")
+            await until(lambda: not two.node._store_up)
+            fleet.store.publish(config(version=9, keys=("k-9",)))
+            await until(lambda: (one.node.news.version, two.node.news.version) == (9, 9))
+            self.assertEqual(200, (await two.ask(key="k-9")).status)
+            self.assertEqual(200, (await one.ask(key="k-9")).status)
+
+    async def test_history_that_was_dropped(self):
+        async with Fleet("shop") as fleet:
+            (shop,) = await fleet.serve()
+            fleet.store.publish(config(version=5))
+            fleet.store.forget("keyed.op")
+            await until(lambda: shop.node.news.version == 5)
+
+    async def test_a_restarted_node_is_met_again_without_the_store(self):
+        async with Fleet("shop", "shop") as fleet:
+            one, two = await fleet.serve()
+            fleet.store.faults = fleet.store.faults._replace(down=True)
+            await one.node.close()
+            await until(lambda: not two.node.directory.serving("shop"))
+            await one.start()
+            await until(lambda: one.node.news.document is not None)
+            self.assertIn(two.cfg.nodes, one.node.directory.peers)
