Admission at the entry by the share of work that a gate can take

Change: gates state the share they can take (run and queued against the limit, a damped correction each 0.2 s); entries fill it with their most important.

--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -17,12 +17,14 @@
 from ..errors import PeerLostError
 from ..request import COHORTS, LOWEST, Outcome, Reason, priority_of
 from ..retry import Budget
+from .admission import Admission
 from .conventions import Asked, Conventions
 from .directory import Directory, Peer
 from .document import FleetDocument, Limits, Organisation, Route
 from .explain import Explainer
 from .frames import Load, Reply, Run
 from .gate import CALL_PRIORITY
+from .graph import CallGraph
 from .http import SINGLE, HttpService, Incoming, Outgoing
 from .news import FleetNews
 from .placement import Placement
@@ -38,6 +40,9 @@
 GATES_TRIED = 4
 """Gates that are asked for one request; a gate's refusal costs its target nothing."""
 
+ROUTE_RANKS = 4
+"""Ranks of routes that are told apart within one rank of organisations."""
+
 LAST_MS = 15
 """Time left below which an attempt cannot reach a target and come back."""
 
@@ -95,25 +100,24 @@
             if age_s > NEGATIVE_AGE_S:
                 return Refused(request.KEYS_STALE, RETRY_SOON_MS)
             return Refused(request.BAD_KEY if pending.asked.key else request.NO_KEY)
-        rank = pending.route.priority if org.priority is None else org.priority
-        return pending._replace(
-            organisation=org, priority=priority_at(rank, pending.asked.request_id)
-        )
+        priority = priority_at(org.priority, pending.route, pending.asked.request_id)
+        return pending._replace(organisation=org, priority=priority)
 
 
 class LevelCheck(Check):
-    """Refuses whole requests that a target on their way would have no room for.
+    """Refuses whole requests that a target on their way would have no room for."""
 
-    The load it answers: a service deep in the call graph is full. ``level`` returns
-    the admission level over all services that a route's requests come to.
-    """
-
-    def __init__(self, level: Callable[[Route], int], pause_ms: Callable[[int], int]) -> None:
-        self._level = level
+    def __init__(
+        self, admission: Admission, graph: CallGraph, pause_ms: Callable[[int], int]
+    ) -> None:
+        self._admission = admission
+        self._graph = graph
         self._pause_ms = pause_ms
 
     def check(self, pending: Pending, doc: FleetDocument) -> Pending | Refused:
-        if pending.priority < COHORTS or pending.priority < self._level(pending.route):
+        if pending.priority < COHORTS:
+            return pending
+        if self._admission.admits(pending.priority, self._graph.reached(pending.route)):
             return pending
         return Refused(request.SHED, self._pause_ms(pending.priority))
 
@@ -132,9 +136,15 @@
         return Refused(request.OVER_RATE, pause_ms)
 
 
-def priority_at(rank: int, request_id: str) -> int:
-    """Return the priority of work at a rank: below calls, which are 0."""
-    return priority_of(min(rank + 1, LOWEST), request_id)
+def priority_at(organisation: int | None, route: Route, request_id: str) -> int:
+    """Return the priority of a request from outside: below calls, which are 0.
+
+    The organisation's rank goes first, then the route's, then a hash of the id.
+    """
+    rank = route.priority if organisation is None else organisation
+    share = COHORTS // ROUTE_RANKS
+    cohort = priority_of(0, request_id) % share
+    return min(rank + 1, LOWEST) * COHORTS + min(route.priority, ROUTE_RANKS - 1) * share + cohort
 
 
 class Attempts:
@@ -306,7 +316,7 @@
             priority = CALL_PRIORITY
             self._called(route)
         else:
-            priority = priority_at(route.priority, asked.request_id)
+            priority = priority_at(None, route, asked.request_id)
         pending = Pending(asked, route, priority, None, now)
         for check in self._checks:
             checked = check.check(pending, doc)
--- a/beryldrum/mesh/gate.py
+++ b/beryldrum/mesh/gate.py
@@ -85,15 +85,15 @@
         if now + run_s * LEAST_RUN >= want.deadline and (self.in_flight or now >= want.deadline):
             return Err(request.TOO_LATE)
         if self.in_flight < self.limit and not len(self.queue):
-            self._start(0.0)
+            self._start()
             return Ok(Admission.START)
         wait_s = self._run_s * (self.queue.ahead(want.priority) + 1) / self.limit
         if now + wait_s + run_s > self._latest(want) or len(self.queue) >= MOST_QUEUED:
-            self.pressure.refused()
             return Err(request.SHED)
         entry = Waiting(item, want.organisation, want.priority, now, want.deadline)
         self._wants[id(item)] = want
         self.queue.push(entry)
+        self._changed()
         return Ok(Admission.WAIT)
 
     @staticmethod
@@ -101,13 +101,17 @@
         # A call's own worth is that of the work which waits for it.
         return want.deadline if want.priority < request.COHORTS else want.due
 
-    def _start(self, waited_s: float) -> None:
+    def _start(self) -> None:
         self.in_flight += 1
-        self.pressure.started(waited_s)
+        self._changed()
+
+    def _changed(self) -> None:
+        self.pressure.changed(self.in_flight + len(self.queue), self.limit)
 
     def finish(self, route: str, seconds: float, ok: bool) -> None:
         """Note the end of a run."""
         self.in_flight -= 1
+        self._changed()
         weight = SMOOTHING if self._run_s else 1.0
         self._run_s += weight * (seconds - self._run_s)
         old = self._routes.get(route)
@@ -117,6 +121,7 @@
     def abandon(self) -> None:
         """Note that a run that was let through has not been handed over."""
         self.in_flight -= 1
+        self._changed()
 
     def withdraw(self, item: T) -> bool:
         """Take a waiting request out; returns False when it is not waiting."""
@@ -138,10 +143,9 @@
                 break
             want = self._wants.pop(id(entry.item))
             if now + self._routes.get(want.route, 0.0) * LEAST_RUN >= want.deadline:
-                self.pressure.refused()
                 refused.append((entry.item, request.TOO_LATE))
                 continue
-            self._start(now - entry.since)
+            self._start()
             started.append(entry.item)
         return started, refused
 
@@ -158,6 +162,7 @@
 
     def load(self, service: str) -> Load:
         """Return the gate's state."""
+        self._changed()
         queued = len(self.queue)
         return Load(
             service,
@@ -165,6 +170,6 @@
             self.limit,
             round(self._run_s * 1000, 1),
             round(self._failed, 3),
-            self.pressure.level(),
+            round(self.pressure.share(), 3),
             queued,
         )
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -11,11 +11,11 @@
 from .. import request
 from ..clock import Clock, SystemClock
 from ..errors import DocumentError, LogError, PeerLostError, SettingsError
-from ..request import NO_LEVEL
 from ..retry import Budget
+from .admission import Admission
 from .conventions import Conventions, Leaving, Statement
 from .directory import Directory, Peer
-from .document import FleetDocument, Route
+from .document import FleetDocument
 from .entry import Attempts, Entry, KeyCheck, LevelCheck, RateCheck
 from .explain import Explainer
 from .frames import Cancel, Document, DocumentAsk, Member, Message, Reply, Run, State
@@ -25,6 +25,7 @@
 from .metrics import MeshMetrics
 from .news import FleetNews
 from .placement import Placement
+from .pressure import WHOLE
 from .quota import Quotas
 from .settings import MeshSettings
 from .store import Store
@@ -136,7 +137,7 @@
     def _make_entry(self) -> Entry:
         checks = [
             KeyCheck(self.news, self._proof_s),
-            LevelCheck(self._level, self._pause_ms),
+            LevelCheck(Admission(self.clock, self._rng, self._share), self.graph, self._pause_ms),
             RateCheck(self.quotas),
         ]
         attempts = Attempts(
@@ -173,19 +174,16 @@
             budget = self._budgets[service] = Budget(self.cfg.retry_ratio / 2, burst)
         return budget
 
-    def _level(self, route: Route) -> int:
-        return min(
-            (self._service_level(name) for name in self.graph.reached(route)), default=NO_LEVEL
-        )
-
-    def _service_level(self, service: str) -> int:
+    def _share(self, service: str) -> float:
+        """Return the share of its work that a service can take, over its targets."""
         loads = [p.load for p in self.directory.serving(service)]
-        if self.target.service == service:
-            loads.append(self.target.load())
+        own = self.target.load()
+        if own.service == service:
+            loads.append(own)
         total = sum(load.limit for load in loads)
         if not total:
-            return NO_LEVEL
-        return int(sum(load.level * load.limit for load in loads) / total)
+            return WHOLE
+        return sum(load.share * load.limit for load in loads) / total
 
     def _pause_ms(self, priority: int) -> int:
         # The less important come back later, and never all at once.
@@ -423,6 +421,7 @@
                 self.explainer.belief("peer forgotten", peer=peer.member.address)
             for listener in self._listeners:
                 listener.sweep()
+            self._state_load()
 
     def ready(self) -> bool:
         """Tell whether callers should send new work here."""
--- a/beryldrum/mesh/pressure.py
+++ b/beryldrum/mesh/pressure.py
@@ -1,67 +1,65 @@
-"""The admission level of a target, for those who admit work at the fleet's entry.
+"""How much of the work that comes to a target its gate can take.
 
 The load it answers: a target deep in the call graph is short of room. Refusing
-its calls there would waste what was done above them, so its level tells the
-entries to refuse whole requests instead, the least important first. The level is
-a priority: requests of that number and above are refused.
+its calls there would waste what was done above them, so the gate states the share
+of all work that it could take, and the entries admit that share of whole requests,
+the most important first.
 """
 
 from ..clock import Clock
-from ..request import COHORTS, NO_LEVEL
 
-__all__ = ["LEAST_LEVEL", "Pressure"]
+__all__ = ["WHOLE", "Pressure"]
 
-WINDOW_S = 0.1
-"""Period at which the level moves."""
+WHOLE = 1.0
+"""The share of a gate that is not short of room."""
 
-WAIT_BOUND_S = 0.04
-"""Mean wait in the queue beyond which the level falls. It stands against objectives
-of 150 ms and more, and is met several times on the way through a deep graph."""
+WINDOW_S = 0.2
+"""Period at which the share moves; about half of the time until a change of it is
+felt at the gate, by way of the entries and the graph."""
 
-FALL = 10
-"""Cohorts that the level falls by in a window of overload."""
+WANTED = 0.93
+"""Runs and queued requests to aim at, as a part of the limit: all but full, with no
+queue to speak of."""
 
-RISE = 4
-"""Cohorts that the level rises by in a window without."""
+GAIN = 0.35
+"""Exponent of the correction in a window; below one half it settles in spite of the
+delay."""
 
-LEAST_LEVEL = COHORTS
-"""Calls of admitted work are never refused by level."""
+MOST_RISE = 1.12
+"""Factor by which the share rises at most in a window."""
+
+LEAST = 0.05
+"""Least share, so that the end of an overload is seen."""
 
 
 class Pressure:
-    """Moves the level with the waits of the runs that start."""
+    """Moves the share with the mean of what runs and waits."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._since = clock.now()
-        self._waited_s = 0.0
-        self._started = 0
-        self._refused = 0
-        self._level = NO_LEVEL
-
-    def started(self, waited_s: float) -> None:
-        """Note how long a run that starts has waited."""
-        self._waited_s += waited_s
-        self._started += 1
+        self._share = WHOLE
+        self._since = self._changed_at = clock.now()
+        self._busy = 0
+        self._sum = 0.0
 
-    def refused(self) -> None:
-        """Note a request that found no room."""
-        self._refused += 1
-
-    def level(self) -> int:
-        """Return the level, moved on with the time."""
-        elapsed = self._clock.now() - self._since
+    def changed(self, busy: int, limit: int) -> None:
+        """Note that ``busy`` requests run and wait now."""
+        now = self._clock.now()
+        self._sum += self._busy * (now - self._changed_at)
+        self._busy, self._changed_at = busy, now
+        elapsed = now - self._since
         if elapsed >= WINDOW_S:
-            self._move(elapsed)
-        return self._level
+            self._move(self._sum / elapsed / limit, elapsed)
+            self._since, self._sum = now, 0.0
+
+    def _move(self, full: float, elapsed: float) -> None:
+        if full > WANTED:
+            self._share = max(LEAST, self._share * (WANTED / full) ** GAIN)
+        elif self._share < WHOLE:
+            windows = min(10.0, elapsed / WINDOW_S)
+            rise = min(MOST_RISE, (WANTED / max(0.01, full)) ** GAIN) ** windows
+            self._share = min(WHOLE, self._share * rise)
 
-    def _move(self, elapsed: float) -> None:
-        mean_s = self._waited_s / max(1, self._started)
-        if self._refused or mean_s > WAIT_BOUND_S:
-            excess = min(3.0, max(1.0, mean_s / WAIT_BOUND_S))
-            self._level = max(LEAST_LEVEL, self._level - int(FALL * excess))
-        else:
-            windows = min(20, int(elapsed / WINDOW_S))
-            self._level = min(NO_LEVEL, self._level + RISE * windows)
-        self._waited_s, self._started, self._refused = 0.0, 0, 0
-        self._since = self._clock.now()
+    def share(self) -> float:
+        """Return the share of the work that can be taken."""
+        return self._share
