--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from .. import request
 from ..clock import Clock, SystemClock
 from ..errors import DocumentError, LogError, PeerLostError, SettingsError
@@ -71,6 +73,9 @@
 LAST_S = 0.5
 """Time before the process is killed at which a stopping node ends what still runs."""
 
+LOAD_S = 1.0
+"""Period at which a gate that is short of room says so in the log."""
+
 BODY_SHARE = 0.25
 """Share of the memory that request bodies may take at once."""
 
@@ -128,6 +133,7 @@
         self._serving: dict[tuple[LinkProtocol, int], asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[Any]] = []
         self._store_up = True
+        self._load_at = 0.0
         self._memory = BodyMemory(int(cfg.memory_mb * 2**20 * BODY_SHARE))
         self._proof_s = cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S
         self._incoming: set[LinkProtocol] = set()
@@ -423,6 +429,15 @@
                 listener.sweep()
             self._state_load()
 
+    def _state_load(self) -> None:
+        """Write how full the gate is, once a second while it is short of room."""
+        load, now = self.target.load(), self.clock.now()
+        if load.share >= WHOLE or now - self._load_at < LOAD_S:
+            return
+        self._load_at = now
+        fields = msgspec.structs.asdict(load)
+        self.explainer.belief("short of room", calls=self.graph.calls(), **fields)
+
     def ready(self) -> bool:
         """Tell whether callers should send new work here."""
         if self.stopping or self.news.document is None:
