Admission from what was admitted and how full that made the service

Change: the entry corrects the part that it admitted lately; calls are counted for the run that made them; work is divided by expected time.

--- a/beryldrum/mesh/admission.py
+++ b/beryldrum/mesh/admission.py
@@ -1,9 +1,11 @@
 """Which requests are admitted at the entry while a service is short of room.
 
 The load it answers: more requests come than the fullest service on their way can
-serve. The share that it can take is filled with the most important requests of
-those that come to it; the rest is refused whole, before its first hop. Within one
-rank the same requests are refused everywhere, by a hash of their id.
+serve. A part of them is admitted, the most important of those that come to that
+service; the rest is refused whole, before its first hop. The part follows from
+what was admitted lately and how full that has made the service, so it does not
+run away while a change is still on its way. Within one rank the same requests are
+refused everywhere, by a hash of their id.
 """
 
 import random
@@ -11,47 +13,70 @@
 
 from ..clock import Clock
 from ..request import NO_LEVEL
-from .pressure import WHOLE
 
 __all__ = ["Admission"]
 
 PERIOD_S = 0.1
 """Period at which thresholds are worked out anew."""
 
-FORGET = 0.93
-"""Weight that past arrivals keep in a period: half after a second."""
+FORGET = 0.85
+"""Weight that past arrivals keep in a period: half after 0.4 s, which is about the
+time until what was admitted is felt at a service deep in the graph."""
+
+WANTED = 0.93
+"""How full a service is to be: all but full, with no queue to speak of."""
+
+GAIN = 0.7
+"""Exponent of the correction; below one it settles in spite of the delay."""
+
+LEAST_CORRECTION, MOST_CORRECTION = 0.7, 1.25
+"""Bounds on the correction: a queue that has built up is not the rate that it comes
+at, and a service that is empty may only just have been left alone."""
+
+LEAST_PART = 0.05
+"""Part that is admitted at least, so that the end of an overload is seen."""
 
 
 class _Arrivals:
-    """Arrivals by priority of the requests that come to one service."""
+    """The requests that come to one service, by priority."""
 
     def __init__(self) -> None:
         self.counts = [0.0] * NO_LEVEL
+        self.offered = 0.0
+        self.admitted = 0.0
         self.threshold = NO_LEVEL
-        self.part = 1.0
-
-    def divide(self, share: float) -> None:
-        """Set the threshold so that ``share`` of the arrivals lies beneath it."""
-        wanted = sum(self.counts) * share
-        self.threshold, self.part = NO_LEVEL, 1.0
+        self.marginal = 1.0
+
+    def part(self) -> float:
+        """Return the part that was admitted lately."""
+        return self.admitted / self.offered if self.offered >= 1.0 else 1.0
+
+    def divide(self, part: float) -> None:
+        """Set the threshold so that ``part`` of the arrivals lies beneath it."""
+        self.threshold, self.marginal = NO_LEVEL, 1.0
+        if part >= 1.0:
+            return
+        wanted = self.offered * part
         for priority, count in enumerate(self.counts):
             if count > 0.0 and wanted < count:
-                self.threshold, self.part = priority, max(0.0, wanted / count)
+                self.threshold, self.marginal = priority, wanted / count
                 return
             wanted -= count
 
     def fade(self) -> None:
         """Let past arrivals count for less."""
         self.counts = [count * FORGET for count in self.counts]
+        self.offered *= FORGET
+        self.admitted *= FORGET
 
 
 class Admission:
-    """Decides at one entry. ``share`` returns what a service can take."""
+    """Decides at one entry. ``full`` returns how full a service is."""
 
-    def __init__(self, clock: Clock, rng: random.Random, share: Callable[[str], float]) -> None:
+    def __init__(self, clock: Clock, rng: random.Random, full: Callable[[str], float]) -> None:
         self._clock = clock
         self._rng = rng
-        self._share = share
+        self._full = full
         self._services: dict[str, _Arrivals] = {}
         self._at = clock.now()
 
@@ -59,24 +84,35 @@
         """Count a request that comes to ``services`` and tell whether it is admitted."""
         if self._clock.now() - self._at >= PERIOD_S:
             self._renew()
+        passed = []
         admitted = True
         for service in services:
             arrivals = self._services.get(service)
             if arrivals is None:
                 arrivals = self._services[service] = _Arrivals()
             arrivals.counts[min(priority, NO_LEVEL - 1)] += 1.0
-            if priority > arrivals.threshold:
-                admitted = False
-            elif priority == arrivals.threshold:
-                admitted = admitted and self._rng.random() < arrivals.part
+            arrivals.offered += 1.0
+            passed.append(arrivals)
+            admitted = admitted and self._passes(arrivals, priority)
+        if admitted:
+            for arrivals in passed:
+                arrivals.admitted += 1.0
         return admitted
 
+    def _passes(self, arrivals: _Arrivals, priority: int) -> bool:
+        if priority == arrivals.threshold:
+            return self._rng.random() < arrivals.marginal
+        return priority < arrivals.threshold
+
     def _renew(self) -> None:
         self._at = self._clock.now()
         for service, arrivals in self._services.items():
-            share = self._share(service)
-            if share >= WHOLE:
-                arrivals.threshold, arrivals.part = NO_LEVEL, 1.0
-            else:
-                arrivals.divide(share)
+            full = max(0.01, self._full(service))
+            correction = min(MOST_CORRECTION, max(LEAST_CORRECTION, (WANTED / full) ** GAIN))
+            arrivals.divide(max(LEAST_PART, arrivals.part() * correction))
             arrivals.fade()
+
+    def parts(self) -> dict[str, float]:
+        """Return the part that was admitted lately, of services that were short of room."""
+        parts = {name: round(a.part(), 2) for name, a in self._services.items()}
+        return {name: part for name, part in parts.items() if part < 1.0}
--- a/beryldrum/mesh/conventions.py
+++ b/beryldrum/mesh/conventions.py
@@ -63,6 +63,10 @@
     def asked(self, incoming: Incoming) -> Asked | None:
         """Return what a request says of itself, None where it says too little."""
 
+    @abstractmethod
+    def caller_of(self, request_id: str) -> str:
+        """Return the id of the request whose run makes a call, empty if it is not told."""
+
     @abstractmethod
     def forwarded(self, lines: list[Header], organisation: str, caller: str) -> bytes:
         """Return the header lines for the target, of a request from ``caller``'s host."""
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -23,7 +23,6 @@
 from .document import FleetDocument, Limits, Organisation, Route
 from .explain import Explainer
 from .frames import Load, Reply, Run
-from .gate import CALL_PRIORITY
 from .graph import CallGraph
 from .http import SINGLE, HttpService, Incoming, Outgoing
 from .news import FleetNews
@@ -258,7 +257,7 @@
         explainer: Explainer,
         done: Callable[[str, float], None],
         rng: random.Random,
-        called: Callable[[Route], None],
+        called: Callable[[Route, str], int],
     ) -> None:
         self._called = called
         self._clock = clock
@@ -313,8 +312,7 @@
         # A request without a key on an open route is a target's own call, or as
         # good as one.
         if route.open:
-            priority = CALL_PRIORITY
-            self._called(route)
+            priority = self._called(route, asked.request_id)
         else:
             priority = priority_at(None, route, asked.request_id)
         pending = Pending(asked, route, priority, None, now)
--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -46,7 +46,7 @@
 
     ``busy`` counts runs in flight and queued requests, ``limit`` bounds the runs in
     flight, ``run_ms`` is the smoothed time of a run, ``failed`` the smoothed share of
-    runs that failed, and ``share`` the share of all work that it can take.
+    runs that failed, and ``full`` the mean of what ran and waited against the limit.
     """
 
     service: str = ""
@@ -54,7 +54,7 @@
     limit: int = 0
     run_ms: float = 0.0
     failed: float = 0.0
-    share: float = 1.0
+    full: float = 0.0
     queued: int = 0
 
 
--- a/beryldrum/mesh/gate.py
+++ b/beryldrum/mesh/gate.py
@@ -170,6 +170,6 @@
             self.limit,
             round(self._run_s * 1000, 1),
             round(self._failed, 3),
-            round(self.pressure.share(), 3),
+            round(self.pressure.full(), 3),
             queued,
         )
--- a/beryldrum/mesh/graph.py
+++ b/beryldrum/mesh/graph.py
@@ -1,10 +1,10 @@
 """Which services a request comes to, learnt from what targets call.
 
-Calls bear no mark of the run that makes them, so a node compares, window by
-window, how many runs of each route its target began with how many calls it
-made. Least squares with weights that are not negative tell the calls by route.
 The load it answers: a service deep in the graph is full, and only requests that
-come to it should be refused at the entry.
+come to it should be refused at the entry. A call whose run is known counts for
+that run's route. Where calls bear no mark of their run, a node compares, window by
+window, how many runs of each route its target began with how many calls it made;
+least squares with weights that are not negative tell the calls by route.
 """
 
 from collections import Counter
@@ -16,7 +16,7 @@
 __all__ = ["CallGraph"]
 
 WINDOW_S = 0.5
-"""Windows over which runs and calls are counted; longer than a run waits for a call."""
+"""Windows over which runs and calls are counted."""
 
 FORGET = 0.97
 """Weight that a window keeps when the next one is added: half after some 12 s."""
@@ -27,6 +27,8 @@
 NEEDED = 0.3
 """Calls a run from which a route is taken to need a service."""
 
+Pair = tuple[str, str]
+
 
 class CallGraph:
     """Calls per run, by route run here and route called."""
@@ -36,20 +38,30 @@
         self._since = clock.now()
         self._runs: Counter[str] = Counter()
         self._calls: Counter[str] = Counter()
-        self._products: dict[tuple[str, str], float] = {}
-        self._mixed: dict[tuple[str, str], float] = {}
-        self._weights: dict[tuple[str, str], float] = {}
+        self._ran: dict[str, float] = {}
+        self._made: dict[Pair, float] = {}
+        self._products: dict[Pair, float] = {}
+        self._mixed: dict[Pair, float] = {}
+        self._weights: dict[Pair, float] = {}
         self._services: dict[str, str] = {}
         self._next: dict[str, set[str]] = {}
         self._reached: dict[str, frozenset[str]] = {}
 
+    def load(self, services: Mapping[str, str]) -> None:
+        """Take up the service of each route, by its name."""
+        self._services = dict(services)
+        self._reached.clear()
+
     def ran(self, route: str) -> None:
         """Count a run that begins at the target here."""
         self._runs[route] += 1
 
-    def called(self, route: Route) -> None:
-        """Count a call that the target here makes."""
-        self._calls[route.name] += 1
+    def called(self, route: str, run: str) -> None:
+        """Count a call that the target here makes; ``run`` is empty if not known."""
+        if run:
+            self._made[run, route] = self._made.get((run, route), 0.0) + 1.0
+        else:
+            self._calls[route] += 1
 
     def calls(self) -> dict[str, float]:
         """Return what was learnt here, as ``run>called`` and calls per run."""
@@ -62,27 +74,36 @@
             return
         self._since = now
         self._learn()
-        sums: Counter[str] = Counter()
+        sums: dict[str, float] = {}
         voices: Counter[str] = Counter()
         for learnt in [self.calls(), *others]:
-            for name in {edge.partition(">")[0] for edge in learnt}:
-                voices[name] += 1
+            voices.update({edge.partition(">")[0] for edge in learnt})
             for edge, weight in learnt.items():
-                sums[edge] += weight  # type: ignore[assignment]
-        graph: dict[str, set[str]] = {}
+                sums[edge] = sums.get(edge, 0.0) + weight
+        self._next = {}
         for edge, weight in sums.items():
             above, _, below = edge.partition(">")
             if weight / voices[above] >= NEEDED:
-                graph.setdefault(above, set()).add(below)
-        self._next = graph
+                self._next.setdefault(above, set()).add(below)
         self._reached.clear()
 
     def _learn(self) -> None:
         runs, calls = self._runs, self._calls
         self._runs, self._calls = Counter(), Counter()
-        for table in (self._products, self._mixed):
+        for table in (self._products, self._mixed, self._made):
             for pair in table:
                 table[pair] *= FORGET
+        for route in self._ran.keys() | runs.keys():
+            self._ran[route] = self._ran.get(route, 0.0) * FORGET + runs[route]
+        if self._made:
+            self._weights = {
+                (run, called): made / max(1.0, self._ran.get(run, 0.0))
+                for (run, called), made in self._made.items()
+            }
+        elif calls or self._mixed:
+            self._compare(runs, calls)
+
+    def _compare(self, runs: Counter[str], calls: Counter[str]) -> None:
         for one, count in runs.items():
             for two, other in runs.items():
                 pair = (one, two)
@@ -106,9 +127,7 @@
         return old * mixed / explained if explained > 0 else old
 
     def reached(self, route: Route) -> frozenset[str]:
-        """Return the routes' services that requests of ``route`` come to."""
-        for part in route.parts:
-            self._services.setdefault(route.name, part.service)
+        """Return the services that requests of ``route`` come to."""
         found = self._reached.get(route.name)
         if found is None:
             found = self._reached[route.name] = self._walk(route)
@@ -123,8 +142,3 @@
                     todo.append(name)
         services = {self._services[name] for name in seen if name in self._services}
         return frozenset(services | {part.service for part in route.parts})
-
-    def load(self, services: Mapping[str, str]) -> None:
-        """Take up the service of each route, by its name."""
-        self._services = dict(services)
-        self._reached.clear()
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -17,17 +17,17 @@
 from .admission import Admission
 from .conventions import Conventions, Leaving, Statement
 from .directory import Directory, Peer
-from .document import FleetDocument
+from .document import FleetDocument, Route
 from .entry import Attempts, Entry, KeyCheck, LevelCheck, RateCheck
 from .explain import Explainer
 from .frames import Cancel, Document, DocumentAsk, Member, Message, Reply, Run, State
+from .gate import CALL_PRIORITY
 from .graph import CallGraph
 from .http import BodyMemory, HttpListener, HttpService, Incoming, Outgoing
 from .links import Link, LinkHandler, LinkProtocol, listen
 from .metrics import MeshMetrics
 from .news import FleetNews
 from .placement import Placement
-from .pressure import WHOLE
 from .quota import Quotas
 from .settings import MeshSettings
 from .store import Store
@@ -141,9 +141,10 @@
         self.news.changed.append(self._take_up)
 
     def _make_entry(self) -> Entry:
+        self.admission = Admission(self.clock, self._rng, self._full)
         checks = [
             KeyCheck(self.news, self._proof_s),
-            LevelCheck(Admission(self.clock, self._rng, self._share), self.graph, self._pause_ms),
+            LevelCheck(self.admission, self.graph, self._pause_ms),
             RateCheck(self.quotas),
         ]
         attempts = Attempts(
@@ -165,11 +166,17 @@
             self.explainer,
             self.metrics.request,
             self._rng,
-            self.graph.called,
+            self._called,
         )
 
     # Decisions that need several parts.
 
+    def _called(self, route: Route, request_id: str) -> int:
+        """Note a call of the target here; returns its priority."""
+        run = self.target.running.get(self._conventions.caller_of(request_id))
+        self.graph.called(route.name, run.route if run else "")
+        return CALL_PRIORITY
+
     def _budget(self, service: str) -> Budget:
         # The fleet's budget, divided evenly; half of it, since the calls of what
         # is repeated count as repeats at the services they go to.
@@ -180,16 +187,14 @@
             budget = self._budgets[service] = Budget(self.cfg.retry_ratio / 2, burst)
         return budget
 
-    def _share(self, service: str) -> float:
-        """Return the share of its work that a service can take, over its targets."""
+    def _full(self, service: str) -> float:
+        """Return how full a service is, over its targets."""
         loads = [p.load for p in self.directory.serving(service)]
         own = self.target.load()
         if own.service == service:
             loads.append(own)
         total = sum(load.limit for load in loads)
-        if not total:
-            return WHOLE
-        return sum(load.share * load.limit for load in loads) / total
+        return sum(load.full * load.limit for load in loads) / total if total else 0.0
 
     def _pause_ms(self, priority: int) -> int:
         # The less important come back later, and never all at once.
@@ -430,13 +435,14 @@
             self._state_load()
 
     def _state_load(self) -> None:
-        """Write how full the gate is, once a second while it is short of room."""
+        """Write how full the gate is, and what is refused here, while there is a lack."""
         load, now = self.target.load(), self.clock.now()
-        if load.share >= WHOLE or now - self._load_at < LOAD_S:
+        parts = self.admission.parts()
+        if now - self._load_at < LOAD_S or (load.full < 1.0 and not parts):
             return
         self._load_at = now
         fields = msgspec.structs.asdict(load)
-        self.explainer.belief("short of room", calls=self.graph.calls(), **fields)
+        self.explainer.belief("short of room", admitted=parts, **fields)
 
     def ready(self) -> bool:
         """Tell whether callers should send new work here."""
--- a/beryldrum/mesh/placement.py
+++ b/beryldrum/mesh/placement.py
@@ -1,9 +1,9 @@
 """Which target of a service gets a request.
 
 The load it answers: targets of a service differ in speed by more than two, turn
-slow or fail for a while, and their queues differ in length. Of some drawn at
-random the one is taken that is expected to answer first; one in the own data
-centre goes first while its time is short beside the limit, which saves bytes
+slow or fail for a while, and their queues differ in length. Work is divided at
+random, the more to a target the sooner it is expected to answer; those in the own
+data centre go first while their time is short beside the limit, which saves bytes
 between data centres.
 """
 
@@ -15,8 +15,12 @@
 
 __all__ = ["Placement"]
 
-DRAWN = 2
-"""Targets that are compared: with two, no node is overrun by all others at once."""
+STEEPNESS = 3
+"""Exponent with which slower targets get less. Finite: all nodes see much the same,
+and would overrun the one that looks best until they hear of it."""
+
+LEAST_S = 0.001
+"""Time taken for a target of which nothing is known yet."""
 
 ROOMY = 0.7
 """Share of its limit up to which a target in the own data centre is preferred."""
@@ -66,11 +70,11 @@
     def _draw(self, peers: Sequence[Peer], route: str, now: float) -> Peer:
         if len(peers) == 1:
             return peers[0]
-        drawn = self._rng.sample(peers, DRAWN)
-        return min(drawn, key=lambda peer: self._cost(peer, route, now))
+        weights = [self._cost(peer, route, now) ** -STEEPNESS for peer in peers]
+        return self._rng.choices(peers, weights)[0]
 
     def _cost(self, peer: Peer, route: str, now: float) -> float:
         away_s = 0.0 if peer.member.data_centre == self._data_centre else AWAY_S
-        run_s = peer.usual_s(route, now)
+        run_s = peer.usual_s(route, now) or max(LEAST_S, peer.load.run_ms / 1000)
         crowding = max(0.0, peer.fullness() - CROWDED) * CROWDING
         return run_s * (1.0 + crowding + peer.load.failed * FAILED_TIMES) + away_s
--- a/beryldrum/mesh/target_side.py
+++ b/beryldrum/mesh/target_side.py
@@ -56,7 +56,9 @@
         self._pool: Pool | None = None
         self._gate: Gate[Slot] | None = None
         self._target: Announcement | None = None
-        self._running: set[asyncio.Task[Reply]] = set()
+        self.running: dict[str, Run] = {}
+        """The runs that the target has, by request id."""
+        self._tasks: set[asyncio.Task[Reply]] = set()
 
     # What the target states.
 
@@ -168,8 +170,8 @@
         if run.idempotent:
             return await self._hand_over(gate, run, deadline)
         task = asyncio.create_task(self._hand_over(gate, run, deadline))
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         return await asyncio.shield(task)
 
     async def _wait(self, gate: Gate[Slot], slot: Slot, deadline: float) -> Reason | None:
@@ -192,12 +194,14 @@
     async def _hand_over(self, gate: Gate[Slot], run: Run, deadline: float) -> Reply:
         started = self._clock.now()
         self._ran(run.route)
+        self.running[run.request_id] = run
         ok = False
         try:
             reply = await self._send(run, deadline)
             ok = reply.outcome == Outcome.ANSWERED and reply.status < 500
             return reply
         finally:
+            self.running.pop(run.request_id, None)
             gate.finish(run.route, self._clock.now() - started, ok)
             self._pump(gate)
 
@@ -276,7 +280,7 @@
     async def finish(self) -> None:
         """Wait for the runs that outlive their callers."""
         with contextlib.suppress(Exception):
-            await asyncio.gather(*self._running, return_exceptions=True)
+            await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
 def _expire(slot: Slot) -> None:
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -87,6 +87,10 @@
             key.strip() if scheme.lower() == "bearer" else "",
         )
 
+    def caller_of(self, request_id: str) -> str:
+        # A target names its calls after the run that makes them.
+        return request_id.rpartition(".")[0]
+
     def forwarded(self, lines: list[Header], organisation: str, caller: str) -> bytes:
         named = _connection_named(lines)
         kept = [b"%s: %s\r\n" % pair for pair in lines if pair[0].lower() not in named]
