--- a/beryldrum/mesh/conventions.py
+++ b/beryldrum/mesh/conventions.py
@@ -67,6 +67,10 @@
     def caller_of(self, request_id: str) -> str:
         """Return the id of the request whose run makes a call, empty if it is not told."""
 
+    @abstractmethod
+    def root_of(self, request_id: str) -> str:
+        """Return the id of the request from outside that a call is made for, if told."""
+
     @abstractmethod
     def forwarded(self, lines: list[Header], organisation: str, caller: str) -> bytes:
         """Return the header lines for the target, of a request from ``caller``'s host."""
--- a/beryldrum/mesh/directory.py
+++ b/beryldrum/mesh/directory.py
@@ -1,5 +1,6 @@
 """The nodes that this node knows, and what each last said of itself."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..clock import Clock
@@ -39,6 +40,8 @@
         """How many states were heard of it."""
         self.stopping = False
         self.connected = False
+        self.silent: Callable[[], float] = lambda: 0.0
+        """Tells for how many seconds it has owed every answer."""
         self.sent = 0
         """Runs given to it since its load was last heard."""
         self.in_flight = 0
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -11,13 +11,14 @@
 from typing import NamedTuple
 
 import msgspec
+import xxhash
 
 from .. import request
 from ..clock import Clock
 from ..errors import PeerLostError
-from ..request import COHORTS, LOWEST, Outcome, Reason, priority_of
-from ..retry import Budget
+from ..request import COHORTS, LOWEST, NO_LEVEL, Outcome, Reason, priority_of
 from .admission import Admission
+from .budget import MOST_ORDER, RetryBudget
 from .conventions import Asked, Conventions
 from .directory import Directory, Peer
 from .document import FleetDocument, Limits, Organisation, Route
@@ -156,7 +157,8 @@
         placement: Placement,
         own: Callable[[], Load],
         send: Callable[[Peer | None, Run, float], "asyncio.Future[Reply]"],
-        budget: Callable[[str], Budget],
+        budget: Callable[[str], RetryBudget],
+        root: Callable[[str], str],
     ) -> None:
         self._clock = clock
         self._directory = directory
@@ -164,6 +166,7 @@
         self._own = own
         self._send = send
         self._budget = budget
+        self._root = root
         self._self = Peer(directory.own, clock.now())
 
     async def make(self, work: Work) -> Reply:
@@ -190,13 +193,18 @@
             maybe_ran = maybe_ran or reply.outcome != Outcome.NOT_RUN
             if not self._again(work, reply, handed):
                 break
-            if reply.handed and not budget.spend():
+            if reply.handed and not budget.spend(self._order(work)):
                 break
         if maybe_ran and reply.outcome == Outcome.NOT_RUN:
             # True of the last attempt, but not of the request.
             reply = unknown(request.LOST)
         return reply
 
+    def _order(self, work: Work) -> int:
+        step = MOST_ORDER // NO_LEVEL
+        spread = xxhash.xxh32_intdigest(self._root(work.request_id).encode()) % step
+        return work.priority * step + spread
+
     def _candidates(self, service: str) -> Sequence[Peer]:
         peers = self._directory.serving(service)
         load = self._own()
--- a/beryldrum/mesh/gate.py
+++ b/beryldrum/mesh/gate.py
@@ -18,7 +18,7 @@
 from .frames import Load
 from .pressure import Pressure
 
-__all__ = ["CALL_PRIORITY", "Admission", "Gate", "Want"]
+__all__ = ["CALL_PRIORITY", "Admission", "Gate", "Want", "call_priority"]
 
 CALL_PRIORITY = 0
 """Priority of a call that a target makes: the work above it is already paid for."""
@@ -38,6 +38,14 @@
 T = TypeVar("T")
 
 
+def call_priority(run: int) -> int:
+    """Return the priority of a call that a run of priority ``run`` makes.
+
+    Calls have the lowest numbers, in the order of the work that they are made for.
+    """
+    return run if run < request.COHORTS else run * request.COHORTS // request.NO_LEVEL
+
+
 class Admission(Enum):
     """What becomes of a request that is not refused."""
 
--- a/beryldrum/mesh/links.py
+++ b/beryldrum/mesh/links.py
@@ -103,12 +103,20 @@
         self._protocol: LinkProtocol | None = None
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._sequences = itertools.count(1)
+        self._heard_at = 0.0
+        self._asked_at = 0.0
 
     @property
     def open(self) -> bool:
         """Whether the connection stands."""
         return self._protocol is not None and self._protocol.open
 
+    def silent_s(self) -> float:
+        """Return for how long the other side has owed every answer."""
+        if not self._waiting:
+            return 0.0
+        return asyncio.get_running_loop().time() - max(self._heard_at, self._asked_at)
+
     async def connect(self) -> None:
         """Open the connection; raises PeerLostError."""
         host, _, port = self.address.rpartition(":")
@@ -123,6 +131,7 @@
         self._protocol = protocol
 
     def message(self, message: frames.Message, link: LinkProtocol) -> None:
+        self._heard_at = asyncio.get_running_loop().time()
         if isinstance(message, frames.Reply | frames.State | frames.Document):
             fut = self._waiting.pop(message.sequence, None)
             if fut is not None and not fut.done():
@@ -148,6 +157,8 @@
         if protocol is None or not protocol.open or protocol.unsent() > MOST_UNSENT:
             raise PeerLostError(self.address, sent=False)
         loop = asyncio.get_running_loop()
+        if not self._waiting:
+            self._asked_at = loop.time()
         sequence = message.sequence = next(self._sequences)
         fut = self._waiting[sequence] = loop.create_future()
         protocol.send(message)
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -13,15 +13,15 @@
 from .. import request
 from ..clock import Clock, SystemClock
 from ..errors import DocumentError, LogError, PeerLostError, SettingsError
-from ..retry import Budget
 from .admission import Admission
+from .budget import RetryBudget
 from .conventions import Conventions, Leaving, Statement
 from .directory import Directory, Peer
 from .document import FleetDocument, Route
 from .entry import Attempts, Entry, KeyCheck, LevelCheck, RateCheck
 from .explain import Explainer
 from .frames import Cancel, Document, DocumentAsk, Member, Message, Reply, Run, State
-from .gate import CALL_PRIORITY
+from .gate import CALL_PRIORITY, call_priority
 from .graph import CallGraph
 from .http import BodyMemory, HttpListener, HttpService, Incoming, Outgoing
 from .links import Link, LinkHandler, LinkProtocol, listen
@@ -42,7 +42,7 @@
 HEARTBEAT_S = 0.5
 """Period at which each node asks every other for its state."""
 
-SILENT_S = 1.5
+SILENT_S = 1.0
 """A connection on which a heartbeat is not answered for this long is given up."""
 
 RECONNECT_FIRST_S = 0.1
@@ -66,6 +66,12 @@
 """Taken off the time in which a withdrawn key must stop working, for clocks that run
 at different speeds and for the way of a request to its target."""
 
+RETRY_SHARE = 0.7
+"""Part of the fleet's retry budget that is used."""
+
+GATE_STAYS_S = 2.0
+"""How long a stopping node still takes work for its target: nobody else reaches it."""
+
 LEAVE_QUIET_S = 2.6
 """How long a stopping node goes on accepting: callers learn from two questions a
 second apart that it is not ready."""
@@ -127,7 +133,7 @@
         self.target = TargetSide(self.clock, conventions, self.explainer, self.graph.ran)
         self.stopping = False
         self._stop_at = 0.0
-        self._budgets: dict[str, Budget] = {}
+        self._budgets: dict[str, RetryBudget] = {}
         self._links: dict[str, Link] = {}
         self._keepers: dict[str, asyncio.Task[None]] = {}
         self._serving: dict[tuple[LinkProtocol, int], asyncio.Task[None]] = {}
@@ -154,6 +160,7 @@
             self.target.load,
             self._send,
             self._budget,
+            self._conventions.root_of,
         )
         return Entry(
             self.clock,
@@ -175,16 +182,17 @@
         """Note a call of the target here; returns its priority."""
         run = self.target.running.get(self._conventions.caller_of(request_id))
         self.graph.called(route.name, run.route if run else "")
-        return CALL_PRIORITY
+        return call_priority(run.priority) if run else CALL_PRIORITY
 
-    def _budget(self, service: str) -> Budget:
-        # The fleet's budget, divided evenly; half of it, since the calls of what
-        # is repeated count as repeats at the services they go to.
+    def _budget(self, service: str) -> RetryBudget:
+        # The fleet's budget, divided by requests; not all of it, since the calls of
+        # what is repeated count as repeats at the services they go to.
         budget = self._budgets.get(service)
         if budget is None:
             nodes = len(self.directory.peers) + 1
             burst = max(1.0, self.cfg.retry_slack / nodes / 2)
-            budget = self._budgets[service] = Budget(self.cfg.retry_ratio / 2, burst)
+            ratio = self.cfg.retry_ratio * RETRY_SHARE
+            budget = self._budgets[service] = RetryBudget(self.clock, ratio, burst)
         return budget
 
     def _full(self, service: str) -> float:
@@ -276,6 +284,7 @@
         """Keep a connection to another node, as long as it is known."""
         address = peer.member.address
         link = self._links[address] = Link(address, lambda _: self._lost(peer))
+        peer.silent = link.silent_s
         pause_s = RECONNECT_FIRST_S
         while address in self.directory.peers:
             try:
@@ -485,15 +494,17 @@
     async def drain(self) -> None:
         """Refuse new work, finish what runs, and return when nothing is left."""
         began = self.clock.now()
-        self.stopping = self.entry.stopping = self.target.stopping = True
+        self.stopping = self.entry.stopping = True
         self._logger.info("stopping", runs=self.target.in_flight, requests=self.entry.in_flight)
-        self._tell_all()
         last = began + max(0.0, self.cfg.stop_s - LAST_S)
         with contextlib.suppress(LogError):
             async with asyncio.timeout(1.0):
                 await self._store.deregister(self.cfg.nodes)
         while self.clock.now() < last:
             waited = self.clock.now() - began
+            if waited >= GATE_STAYS_S and not self.target.stopping:
+                self.target.stopping = True
+                self._tell_all()
             if waited >= LEAVE_QUIET_S and not self.target.in_flight and not self.entry.in_flight:
                 break
             await asyncio.sleep(0.05)
--- a/beryldrum/mesh/placement.py
+++ b/beryldrum/mesh/placement.py
@@ -38,6 +38,10 @@
 FAILED_TIMES = 8.0
 """Run times that a target costs which fails all its runs."""
 
+SUSPECT_S = 0.4
+"""Silence from which on a node is left alone while there are others: a heartbeat is
+answered within some ms, even over a slow link."""
+
 AWAY_S = 0.004
 """Time that a target in another data centre costs, there and back."""
 
@@ -57,6 +61,8 @@
         fresh = [p for p in peers if p.member.address not in tried] if tried else peers
         if len(fresh) < 2:
             return fresh[0] if fresh else None
+        answering = [p for p in fresh if p.silent() < SUSPECT_S]
+        fresh = answering or fresh
         now = self._clock.now()
         near = [p for p in fresh if p.member.data_centre == self._data_centre]
         if near:
--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -65,6 +65,8 @@
         self.level = 0.0
         self.adopted = False
         self.demand = 0.0
+        self.told = [0.0, 0.0]
+        """The demand of the last two ticks: what the others know of."""
         self.asked = 0
         self.admitted = 0
         self.seen = 0
@@ -142,6 +144,7 @@
     ) -> None:
         b.demand += min(1.0, elapsed / DEMAND_S) * (b.asked / elapsed - b.demand)
         b.asked = 0
+        b.told = [b.told[1], b.demand]
         used = float(b.admitted - b.seen)
         b.seen = b.admitted
         levels = []
@@ -182,14 +185,17 @@
         return max(demand, LEAST_DEMAND) / max(b.total_demand, LEAST_DEMAND)
 
     def _budget(self, b: _Bucket, org: Organisation, elapsed: float) -> float:
-        b.total_demand = max(b.demand, LEAST_DEMAND) + sum(
-            max(other.demand, LEAST_DEMAND) for other in b.others.values()
-        )
+        # The parts sum up to one only if all nodes go by the same demand, so the
+        # own one is taken as old as the others are known.
+        own = max(b.told[0], LEAST_DEMAND)
+        b.total_demand = own + sum(max(o.demand, LEAST_DEMAND) for o in b.others.values())
         # What nobody asks for is divided evenly, for whoever asks for it first.
         nodes = len(b.others) + 1
         spare = max(0.0, org.rate_per_s - b.total_demand) / nodes
-        part = (max(b.demand, LEAST_DEMAND) + spare) / (b.total_demand + spare * nodes)
-        budget = part * (max(0.0, b.level) + org.rate_per_s * elapsed)
+        part = (own + spare) / (b.total_demand + spare * nodes)
+        # What is there is given out over the time until its use is known everywhere.
+        stock = max(0.0, b.level) * min(1.0, elapsed / NEWS_S)
+        budget = part * (stock + org.rate_per_s * elapsed)
         if budget < 1.0 and b.level >= 1.0 + b.total_demand * NEWS_S:
             # Far from the limit a small part must not refuse a single request.
             return 1.0
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -91,6 +91,9 @@
         # A target names its calls after the run that makes them.
         return request_id.rpartition(".")[0]
 
+    def root_of(self, request_id: str) -> str:
+        return request_id.partition(".")[0]
+
     def forwarded(self, lines: list[Header], organisation: str, caller: str) -> bytes:
         named = _connection_named(lines)
         kept = [b"%s: %s\r\n" % pair for pair in lines if pair[0].lower() not in named]
