--- a/beryldrum/mesh/admission.py
+++ b/beryldrum/mesh/admission.py
@@ -26,12 +26,11 @@
 WANTED = 0.93
 """How full a service is to be: all but full, with no queue to speak of."""
 
-GAIN = 0.7
+GAIN = 0.8
 """Exponent of the correction; below one it settles in spite of the delay."""
 
-LEAST_CORRECTION, MOST_CORRECTION = 0.7, 1.25
-"""Bounds on the correction: a queue that has built up is not the rate that it comes
-at, and a service that is empty may only just have been left alone."""
+LEAST_CORRECTION, MOST_CORRECTION = 0.3, 1.25
+"""Bounds on the correction: a service that is empty may only just have been left alone."""
 
 LEAST_PART = 0.05
 """Part that is admitted at least, so that the end of an overload is seen."""
--- a/beryldrum/mesh/directory.py
+++ b/beryldrum/mesh/directory.py
@@ -60,8 +60,8 @@
         return took.seconds if took is not None and now - took.at < TOOK_LIFE_S else 0.0
 
     def fullness(self) -> float:
-        """Return the share of its limit that its target uses, lately and with one more."""
-        return max(self.load.full, (self.load.busy + self.sent + 1) / max(1, self.load.limit))
+        """Return the share of its limit that its target uses, with one more."""
+        return (self.load.busy + self.sent + 1) / max(1, self.load.limit)
 
 
 class Directory:
--- a/beryldrum/mesh/gate.py
+++ b/beryldrum/mesh/gate.py
@@ -89,6 +89,7 @@
     def offer(self, item: T, want: Want) -> Result[Admission, Reason]:
         """Decide on a request that has just come."""
         now = self._clock.now()
+        self.pressure.arrived()
         run_s = self._routes.get(want.route, 0.0)
         if now + run_s * LEAST_RUN >= want.deadline and (self.in_flight or now >= want.deadline):
             return Err(request.TOO_LATE)
@@ -119,6 +120,7 @@
     def finish(self, route: str, seconds: float, ok: bool) -> None:
         """Note the end of a run."""
         self.in_flight -= 1
+        self.pressure.ended()
         self._changed()
         weight = SMOOTHING if self._run_s else 1.0
         self._run_s += weight * (seconds - self._run_s)
--- a/beryldrum/mesh/placement.py
+++ b/beryldrum/mesh/placement.py
@@ -25,6 +25,9 @@
 ROOMY = 0.7
 """Share of its limit up to which a target in the own data centre is preferred."""
 
+LOPSIDED = 0.25
+"""Share of its limit by which such a target may be fuller than the emptiest one."""
+
 UNHURRIED = 0.5
 """Share of the time limit up to which a target's usual time is short."""
 
@@ -67,10 +70,10 @@
         near = [p for p in fresh if p.member.data_centre == self._data_centre]
         if near:
             best = self._draw(near, route, now)
-            if best.fullness() < ROOMY:
-                cost_s = self._cost(best, route, now)
-                if cost_s < limit_s * UNHURRIED:
-                    return best
+            emptiest = min(peer.fullness() for peer in fresh)
+            roomy = best.fullness() < min(ROOMY, emptiest + LOPSIDED)
+            if roomy and self._cost(best, route, now) < limit_s * UNHURRIED:
+                return best
         return self._draw(fresh, route, now)
 
     def _draw(self, peers: Sequence[Peer], route: str, now: float) -> Peer:
--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -26,6 +26,10 @@
 """Age of the news of other nodes, at most, while they can be heard."""
 
 
+SILENT_S = 1.5
+"""Age of the news of a node from which on it may be cut off."""
+
+
 class Use(NamedTuple):
     """A node's use of an organisation's rate.
 
@@ -56,6 +60,7 @@
         self.heard = -1
         self.assumed = 0.0
         self.demand = 0.0
+        self.silent_s = 0.0
 
 
 class _Bucket:
@@ -174,8 +179,9 @@
         if other.heard == report.heard:
             assumed = org.rate_per_s * elapsed * self._part(b, other.demand)
             other.assumed += assumed
+            other.silent_s += elapsed
             return assumed
-        other.heard = report.heard
+        other.heard, other.silent_s = report.heard, 0.0
         used = use.admitted - other.admitted - other.assumed
         other.admitted, other.assumed, other.demand = use.admitted, 0.0, use.demand
         return used
@@ -188,6 +194,12 @@
         # The parts sum up to one only if all nodes go by the same demand, so the
         # own one is taken as old as the others are known.
         own = max(b.told[0], LEAST_DEMAND)
+        heard = [o.demand for o in b.others.values() if o.silent_s <= SILENT_S]
+        # Whoever is silent may get as many requests by now as those who are heard.
+        usual = (own + sum(heard)) / (1 + len(heard))
+        for other in b.others.values():
+            if other.silent_s > SILENT_S:
+                other.demand = max(other.demand, usual)
         b.total_demand = own + sum(max(o.demand, LEAST_DEMAND) for o in b.others.values())
         # What nobody asks for is divided evenly, for whoever asks for it first.
         nodes = len(b.others) + 1
--- a/beryldrum/queue.py
+++ b/beryldrum/queue.py
@@ -93,7 +93,8 @@
         self._lines: list[_Line[T]] = [_Line() for _ in range(LEVELS)]
 
     def __len__(self) -> int:
-        return sum(line.size for line in self._lines)
+        one, two, three, four = self._lines
+        return one.size + two.size + three.size + four.size
 
     def push(self, entry: Waiting[T]) -> None:
         """Add an entry."""
--- /dev/null
+++ b/tests/test_mesh_overload.py
@@ -0,0 +1,336 @@
+"""Admission, gate, placement and retries under load, in virtual time."""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum import request as reasons
+from beryldrum.clock import ManualClock
+from beryldrum.mesh.admission import Admission
+from beryldrum.mesh.budget import MOST_ORDER, RetryBudget
+from beryldrum.mesh.directory import Peer
+from beryldrum.mesh.document import Part, Route
+from beryldrum.mesh.frames import Load, Member
+from beryldrum.mesh.gate import CALL_PRIORITY, Gate, Want, call_priority
+from beryldrum.mesh.gate import Admission as Admitted
+from beryldrum.mesh.graph import CallGraph
+from beryldrum.mesh.placement import Placement
+from beryldrum.mesh.split import Splitter
+
+STEP_S = 0.005
+NEWS_S = 0.3
+
+
+class Class(NamedTuple):
+    """A kind of request: its share of the load, its priority, its calls and its work."""
+
+    share: float
+    priority: int
+    calls: int
+    work_s: float
+
+
+class Tree:
+    """Requests that make calls at one narrow service, admitted at one entry.
+
+    The service has three targets of different speed; work is divided by their room.
+    """
+
+    def __init__(self, classes, per_s, limit, seed=3):
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.classes = classes
+        self.per_s = per_s
+        self.gates = [Gate(self.clock, limit) for _ in range(3)]
+        self.speeds = (0.6, 1.0, 1.4)
+        self.peers = [peer(str(number), data_centre="far") for number in range(3)]
+        self.placement = Placement(self.clock, self.rng, "near")
+        self.full = 0.0
+        self.admission = Admission(self.clock, self.rng, lambda service: self.full)
+        self.events = []
+        self.numbers = itertools.count()
+        self.asked = [0] * len(classes)
+        self.served = [0] * len(classes)
+        self.lost = 0
+
+    def run(self, seconds):
+        news_at = 0.0
+        for _ in range(int(seconds / STEP_S)):
+            until = self.clock.now() + STEP_S
+            while self.events and self.events[0][0] <= until:
+                at, _, gate, item, started = heapq.heappop(self.events)
+                self.clock.advance(max(0.0, at - self.clock.now()))
+                self._end(gate, item, started)
+            self.clock.advance(until - self.clock.now())
+            if until >= news_at:
+                news_at = until + NEWS_S
+                loads = [gate.load("narrow") for gate in self.gates]
+                self.full = sum(load.full for load in loads) / len(loads)
+            self._arrive(until)
+
+    def _arrive(self, now):
+        for kind, spec in enumerate(self.classes):
+            expected = self.per_s * spec.share * STEP_S
+            for _ in range(int(expected) + (self.rng.random() < expected % 1)):
+                self.asked[kind] += 1
+                priority = spec.priority + self.rng.randrange(16)
+                if self.admission.admits(priority, ("narrow",)):
+                    self._call([kind, spec.calls, now + 1.2])
+
+    def _call(self, item):
+        now = self.clock.now()
+        for node, gate in zip(self.peers, self.gates, strict=True):
+            node.load = gate.load("narrow")
+        gate = self.gates[self.peers.index(self.placement.choose(self.peers, "call", 0.3, set()))]
+        want = Want("call", "", CALL_PRIORITY, now + 0.3, now + 0.7)
+        offered = gate.offer(_Item(item), want)
+        if offered.is_err():
+            self.lost += 1
+        elif offered.unwrap() is Admitted.START:
+            self._start(gate, item)
+
+    def _start(self, gate, item):
+        now = self.clock.now()
+        speed = self.speeds[self.gates.index(gate)]
+        seconds = self.classes[item[0]].work_s / speed * self.rng.uniform(0.5, 1.5)
+        heapq.heappush(self.events, (now + seconds, next(self.numbers), gate, item, now))
+
+    def _end(self, gate, item, started):
+        gate.finish("call", self.clock.now() - started, True)
+        begun, refused = gate.ready()
+        self.lost += len(refused)
+        for entry in begun:
+            self._start(gate, entry.item)
+        item[1] -= 1
+        if item[1]:
+            self._call(item)
+        elif self.clock.now() <= item[2]:
+            self.served[item[0]] += 1
+
+
+class _Item:
+    """A handle with an identity of its own, as futures have."""
+
+    def __init__(self, item):
+        self.item = item
+
+
+IMPORTANT = Class(0.25, 128, 4, 0.015)
+ORDINARY = Class(0.75, 160, 4, 0.015)
+CAPACITY = 3 * 25 / 0.015 / 4
+
+
+class AdmissionTest(TestCase):
+    """Whole requests are refused at the entry, the least important first."""
+
+    @parameterized.expand([("1.3 times", 1.3), ("1.8 times", 1.8), ("3 times", 3.0)])
+    def test_overload_of_a_deep_service(self, _, factor):
+        tree = Tree((IMPORTANT, ORDINARY), CAPACITY * factor, 27)
+        tree.run(3.0)
+        tree.asked, tree.served, tree.lost = [0, 0], [0, 0], 0
+        tree.run(10.0)
+        # Refusing calls down there instead leaves 0.1 of all and 0.05 of whole trees.
+        self.assertGreater(sum(tree.served), 0.8 * CAPACITY * 10.0)
+        self.assertGreater(tree.served[0] / tree.asked[0], 0.95)
+        self.assertLess(tree.lost, 0.02 * sum(tree.served))
+
+    def test_everything_is_admitted_again_after_the_overload(self):
+        tree = Tree((IMPORTANT, ORDINARY), CAPACITY * 2, 27)
+        tree.run(6.0)
+        tree.per_s = CAPACITY * 0.7
+        tree.run(3.0)
+        tree.asked, tree.served = [0, 0], [0, 0]
+        tree.run(5.0)
+        self.assertGreater(sum(tree.served) / sum(tree.asked), 0.97)
+
+    def test_requests_that_do_not_come_to_the_full_service_are_admitted(self):
+        clock = ManualClock()
+        full = {"narrow": 3.0, "wide": 0.5}
+        admission = Admission(clock, random.Random(1), full.__getitem__)
+        refused = {"narrow": 0, "wide": 0}
+        for _ in range(2000):
+            clock.advance(0.005)
+            for service in refused:
+                refused[service] += not admission.admits(170, (service,))
+        self.assertEqual(0, refused["wide"])
+        self.assertGreater(refused["narrow"], 500)
+
+
+class GateTest(TestCase):
+    """Who runs, who waits and who is refused at a target."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.gate = Gate(self.clock, 10)
+
+    def want(self, priority=128, due=1.0, deadline=2.0, route="r"):
+        now = self.clock.now()
+        return Want(route, "mart", priority, now + due, now + deadline)
+
+    def fill(self, seconds=0.5):
+        """Fill the gate with runs whose time is known."""
+        for number in range(self.gate.limit):
+            self.gate.offer(f"run {number}", self.want())
+        self.gate.finish("r", seconds, True)
+        self.gate.offer("run again", self.want())
+
+    def test_never_more_runs_than_most_of_the_slots(self):
+        started = sum(
+            self.gate.offer(object(), self.want()).unwrap() is Admitted.START for _ in range(12)
+        )
+        self.assertEqual(9, started)
+
+    def test_calls_of_admitted_work_go_first(self):
+        self.fill()
+        self.gate.offer("new", self.want(priority=128))
+        self.gate.offer("call", self.want(priority=CALL_PRIORITY))
+        self.gate.finish("r", 0.5, True)
+        self.assertEqual((["call"], []), self.gate.ready())
+
+    @parameterized.expand(
+        [
+            ("no time left", {"deadline": 0.0}, reasons.TOO_LATE),
+            ("less time than a run takes", {"deadline": 0.2}, reasons.TOO_LATE),
+            ("due before its turn would come", {"due": 0.4}, reasons.SHED),
+        ]
+    )
+    def test_refused_at_once(self, _, times, reason):
+        self.fill()
+        self.assertEqual(reason, self.gate.offer("late", self.want(**times)).unwrap_err())
+
+    def test_what_has_become_too_late_in_the_queue_is_not_started(self):
+        self.fill()
+        self.gate.offer("waits", self.want(priority=CALL_PRIORITY, deadline=0.8))
+        self.clock.advance(0.7)
+        self.gate.finish("r", 0.5, True)
+        self.assertEqual(([], [("waits", reasons.TOO_LATE)]), self.gate.ready())
+
+    def test_withdrawn_requests_are_not_started(self):
+        self.fill()
+        self.gate.offer("waits", self.want())
+        self.assertTrue(self.gate.withdraw("waits"))
+        self.assertFalse(self.gate.withdraw("waits"))
+        self.gate.finish("r", 0.5, True)
+        self.assertEqual(([], []), self.gate.ready())
+
+    def test_calls_keep_the_order_of_the_work_above(self):
+        self.assertLess(call_priority(70), call_priority(250))
+        self.assertLess(call_priority(250), reasons.COHORTS)
+        self.assertEqual(12, call_priority(12))
+
+
+def peer(name, data_centre="near", busy=0, limit=20, run_ms=50.0, failed=0.0, silent=0.0):
+    """Return a node as the directory knows it."""
+    found = Peer(Member(name, data_centre, 1), 0.0)
+    found.load = Load("s", busy, limit, run_ms, failed, busy / limit, 0)
+    found.silent = lambda: silent
+    return found
+
+
+class PlacementTest(TestCase):
+    """Where work goes."""
+
+    @parameterized.expand(
+        [
+            # peers, the least and most share of the work that the first gets
+            ("faster gets more", [{"run_ms": 40}, {"run_ms": 80}], 0.8, 0.95),
+            ("as fast, as much", [{}, {}], 0.4, 0.6),
+            ("near goes first", [{}, {"data_centre": "far"}], 1.0, 1.0),
+            ("near but crowded", [{"busy": 19}, {"data_centre": "far"}], 0.0, 0.5),
+            ("near but slow", [{"run_ms": 400}, {"data_centre": "far"}], 0.0, 0.2),
+            ("one that fails", [{"failed": 0.5}, {}], 0.0, 0.1),
+            ("one that is silent", [{"silent": 1.0}, {}], 0.0, 0.0),
+            ("all silent", [{"silent": 1.0}, {"silent": 1.0}], 0.4, 0.6),
+        ]
+    )
+    def test_share_of_the_first(self, _, specs, least, most):
+        placement = Placement(ManualClock(), random.Random(5), "near")
+        peers = [peer(str(number), **spec) for number, spec in enumerate(specs)]
+        count = sum(placement.choose(peers, "r", 0.5, set()) is peers[0] for _ in range(1000))
+        self.assertTrue(least * 1000 <= count <= most * 1000, count)
+
+    def test_none_is_tried_twice(self):
+        placement = Placement(ManualClock(), random.Random(5), "near")
+        self.assertIsNone(placement.choose([peer("a")], "r", 0.5, {"a"}))
+
+    def test_a_slow_spell_is_forgotten(self):
+        found = peer("a", run_ms=50)
+        found.took("r", 2.0, 10.0)
+        self.assertEqual(2.0, found.usual_s("r", 11.0))
+        self.assertEqual(0.0, found.usual_s("r", 14.0))
+
+
+class RetryBudgetTest(TestCase):
+    """Retries are bounded, and go to the same requests."""
+
+    def spend(self, ratio):
+        clock, rng = ManualClock(), random.Random(9)
+        budget = RetryBudget(clock, ratio, 2.0)
+        spent = []
+        for _ in range(8000):
+            clock.advance(0.002)
+            budget.deposit()
+            order = rng.randrange(MOST_ORDER)
+            if rng.random() < 0.5 and budget.spend(order):
+                spent.append(order)
+        return spent
+
+    def test_bounded_by_the_ratio(self):
+        self.assertLessEqual(len(self.spend(0.1)), 0.1 * 8000 + 2)
+
+    def test_given_to_the_most_important(self):
+        late = self.spend(0.1)[400:]
+        important = sum(order < MOST_ORDER * 0.4 for order in late)
+        self.assertGreater(important, 0.9 * len(late))
+
+    def test_enough_for_all(self):
+        orders = self.spend(0.9)
+        self.assertGreater(max(orders), MOST_ORDER * 0.9)
+
+
+def route(name, *services):
+    """Return a route whose requests go to services by equal weight."""
+    parts = tuple(Part(service, 1.0) for service in services)
+    return Route(name, "h", f"/{name}/", parts, True, 1.0, 1.0, 2, 0, False)
+
+
+class CallGraphTest(TestCase):
+    """Which services a request comes to."""
+
+    def learn(self, told):
+        clock, rng = ManualClock(), random.Random(2)
+        graph = CallGraph(clock)
+        services = {"list": "shop", "sheet": "shop", "stock": "store", "queue": "bench"}
+        graph.load(services)
+        for _ in range(60):
+            for name, calls in (("list", 0), ("sheet", 2)):
+                for _ in range(rng.randrange(5, 25)):
+                    graph.ran(name)
+                    for _ in range(calls):
+                        graph.called("stock", name if told else "")
+            clock.advance(0.5)
+            graph.tick([{"stock>queue": 4.0}])
+        return graph
+
+    @parameterized.expand([("calls that tell their run", True), ("calls that tell nothing", False)])
+    def test_reached(self, _, told):
+        graph = self.learn(told)
+        self.assertEqual({"shop", "store", "bench"}, graph.reached(route("sheet", "shop")))
+        self.assertEqual({"shop"}, graph.reached(route("list", "shop")))
+
+
+class SplitterTest(TestCase):
+    """Requests are divided by weight."""
+
+    def test_shares(self):
+        splitter = Splitter(random.Random(4))
+        parts = (Part("a", 90.0), Part("b", 10.0))
+        split = route("r", "a")._replace(parts=parts)
+        counts = [splitter.service(split) for _ in range(200)]
+        self.assertEqual(180, counts.count("a"))
+        self.assertEqual(20, counts.count("b"))
--- /dev/null
+++ b/tests/test_mesh_quota.py
@@ -0,0 +1,152 @@
+"""The rate of an organisation over the whole fleet, in virtual time.
+
+Each case is a pattern of load: what must hold is the bound over any window, what
+should be good is that little within the rate is refused.
+"""
+
+import random
+from collections import deque
+from typing import NamedTuple
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum.clock import ManualClock
+from beryldrum.mesh.document import Organisation
+from beryldrum.mesh.quota import Quotas, Report
+
+STEP_S = 0.05
+TICK_STEPS = 5
+NEWS_STEPS = 8
+WINDOW_S = 5.0
+OVERSHOOT = 1.1
+SLACK = 20.0
+
+
+class Case(NamedTuple):
+    """A pattern: requests a second at each node by time, and what happens to nodes."""
+
+    name: str
+    nodes: int
+    rate: float
+    burst: float
+    demand: object
+    cut: tuple = ()
+    restarts: tuple = ()
+    refused_most: float = 1.0
+
+
+def skewed(factor):
+    """Return a demand of which the first node has half."""
+    return lambda node, now: factor * (50.0 if node == 0 else 50.0 / 13)
+
+
+def surge(base, hot, start):
+    """Return a demand that rises from one second on."""
+    return lambda node, now: hot if now >= start else base
+
+
+CASES = (
+    Case("within the rate, evenly", 14, 160, 160, surge(7, 7, 0), refused_most=0.02),
+    Case("within the rate, half at one node", 14, 160, 160, skewed(1.0), refused_most=0.05),
+    Case("small organisation", 14, 16, 16, surge(0.6, 0.6, 0), refused_most=0.05),
+    Case("ten times the rate from the start", 14, 96, 96, surge(70, 70, 0)),
+    Case("ten times the rate all at once", 14, 96, 96, surge(4, 70, 6.0)),
+    Case("ten times the rate at one node", 14, 96, 96, lambda n, t: 960.0 if n == 3 else 0.0),
+    Case("a cut into halves while it is hot", 14, 96, 96, surge(70, 70, 0), cut=(8.0, 16.0)),
+    Case("a cut, then the surge", 14, 96, 96, surge(4, 70, 9.0), cut=(8.0, 16.0)),
+    Case("every node restarts in turn", 14, 96, 96, surge(70, 70, 0), restarts=tuple(range(14))),
+    Case("many nodes, small organisation, hot", 90, 16, 16, surge(1.8, 1.8, 3.0)),
+    Case("many nodes, small organisation", 90, 16, 16, surge(0.11, 0.11, 0), refused_most=0.1),
+)
+
+
+class Simulation:
+    """Nodes that hear of each other after a while, and a count of what they admit."""
+
+    def __init__(self, case, seed):
+        self.case = case
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.orgs = {"mart": Organisation("mart", None, case.rate, case.burst)}
+        self.quotas = [self._quota() for _ in range(case.nodes)]
+        self.incarnations = [1] * case.nodes
+        self.reports = [{} for _ in range(case.nodes)]
+        self.admitted = deque()
+        self.asked = self.refused = 0
+        self.worst = 0.0
+
+    def _quota(self):
+        quotas = Quotas(self.clock)
+        quotas.load(self.orgs)
+        return quotas
+
+    def run(self, seconds):
+        for step in range(int(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            for node in range(self.case.nodes):
+                if (step + node) % NEWS_STEPS == 0:
+                    self._spread(node, step)
+                if (step + node) % TICK_STEPS == 0:
+                    self.quotas[node].tick(self.reports[node].values())
+            for number, at in enumerate(self.case.restarts):
+                if step == int((6.0 + number) / STEP_S):
+                    self.quotas[at] = self._quota()
+                    self.incarnations[at] += 1
+            self._ask(self.clock.now())
+
+    def _spread(self, node, step):
+        uses = self.quotas[node].uses()
+        for other in range(self.case.nodes):
+            if other != node and not self._apart(node, other, self.clock.now()):
+                self.reports[other][node] = Report(str(node), self.incarnations[node], step, uses)
+
+    def _apart(self, one, two, now):
+        cut = self.case.cut
+        return bool(cut) and cut[0] <= now < cut[1] and (one % 2) != (two % 2)
+
+    def _ask(self, now):
+        for node, quotas in enumerate(self.quotas):
+            expected = self.case.demand(node, now) * STEP_S
+            count = int(expected) + (self.rng.random() < expected % 1)
+            for _ in range(count):
+                self.asked += 1
+                if quotas.take("mart"):
+                    self.admitted.append(now)
+                else:
+                    self.refused += 1
+        while self.admitted and self.admitted[0] <= now - WINDOW_S:
+            self.admitted.popleft()
+        self.worst = max(self.worst, len(self.admitted))
+
+
+class QuotaTest(TestCase):
+    """No more than the rate and burst, whatever happens to the nodes."""
+
+    @parameterized.expand([(case.name.replace(" ", "_"), case) for case in CASES])
+    def test_pattern(self, _, case):
+        simulation = Simulation(case, seed=7)
+        simulation.run(3.0 if case.refused_most == 1.0 else 6.0)
+        simulation.asked = simulation.refused = 0
+        simulation.run(20.0)
+        bound = (case.rate * WINDOW_S + case.burst) * OVERSHOOT + SLACK
+        self.assertLessEqual(simulation.worst, bound)
+        self.assertLessEqual(simulation.refused / simulation.asked, case.refused_most)
+
+    def test_what_has_not_run_is_given_back(self):
+        clock = ManualClock()
+        quotas = Quotas(clock)
+        quotas.load({"mart": Organisation("mart", None, 4.0, 4.0)})
+        clock.advance(1.0)
+        quotas.tick([])
+        taken = 0
+        while quotas.take("mart"):
+            taken += 1
+        self.assertFalse(quotas.take("mart"))
+        quotas.give_back("mart")
+        self.assertTrue(quotas.take("mart"))
+        self.assertGreater(taken, 0)
+
+    def test_an_organisation_without_a_rate_is_not_limited(self):
+        quotas = Quotas(ManualClock())
+        self.assertTrue(all(quotas.take("free") for _ in range(1000)))
