--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -22,8 +22,9 @@
 LEAST_DEMAND = 0.05
 """Requests a second that a node without demand counts for."""
 
-NEWS_S = 0.5
-"""Age of the news of other nodes, at most, while they can be heard."""
+NEWS_S = 0.75
+"""Age of the news of other nodes, at most, while they can be heard: a heartbeat and a
+tick."""
 
 
 SILENT_S = 1.5
