--- a/beryldrum/mesh/gate.py
+++ b/beryldrum/mesh/gate.py
@@ -2,8 +2,8 @@
 
 The load it answers: more requests arrive than the target can run in time. A
 target that is full may hang, so never more are handed over than it has slots.
-Calls of work that was admitted further up go first; what cannot be answered in
-time is refused at once, as *not run*, while its caller still has time left.
+Whoever has least time to spare goes first; what cannot be answered in time is
+refused at once, as *not run*, while its caller still has time left.
 """
 
 from enum import Enum
@@ -13,15 +13,16 @@
 
 from .. import request
 from ..clock import Clock
-from ..queue import FairQueue, Waiting
 from ..request import Reason
 from .frames import Load
 from .pressure import Pressure
+from .queue import SlackQueue
 
 __all__ = ["CALL_PRIORITY", "Admission", "Gate", "Want", "call_priority"]
 
 CALL_PRIORITY = 0
-"""Priority of a call that a target makes: the work above it is already paid for."""
+"""Priority of a call that a target makes, where its run is not known. Calls are never
+refused for a later answer than wanted: the work above them is already paid for."""
 
 NEARLY_FULL = 0.94
 """Share of the slots that is used; some targets slow down from 95% on."""
@@ -76,7 +77,7 @@
         self._failed = 0.0
         self._refused: list[tuple[T, Reason]] = []
         self._wants: dict[int, Want] = {}
-        self.queue: FairQueue[T] = FairQueue()
+        self.queue: SlackQueue[T] = SlackQueue()
         self.pressure = Pressure(clock)
         self.in_flight = 0
         self.limit = 1
@@ -96,12 +97,12 @@
         if self.in_flight < self.limit and not len(self.queue):
             self._start()
             return Ok(Admission.START)
-        wait_s = self._run_s * (self.queue.ahead(want.priority) + 1) / self.limit
+        start_by = want.due - run_s
+        wait_s = self._run_s * (self.queue.ahead(start_by) + 1) / self.limit
         if now + wait_s + run_s > self._latest(want) or len(self.queue) >= MOST_QUEUED:
             return Err(request.SHED)
-        entry = Waiting(item, want.organisation, want.priority, now, want.deadline)
         self._wants[id(item)] = want
-        self.queue.push(entry)
+        self.queue.push(item, start_by)
         self._changed()
         return Ok(Admission.WAIT)
 
@@ -135,12 +136,7 @@
 
     def withdraw(self, item: T) -> bool:
         """Take a waiting request out; returns False when it is not waiting."""
-        if self._wants.pop(id(item), None) is None:
-            return False
-        for entry in self.queue.entries():
-            if entry.item is item:
-                return self.queue.remove(entry)
-        return False
+        return self._wants.pop(id(item), None) is not None and self.queue.remove(item)
 
     def ready(self) -> tuple[list[T], list[tuple[T, Reason]]]:
         """Return the requests to start now and those refused meanwhile."""
@@ -148,20 +144,20 @@
         refused: list[tuple[T, Reason]] = []
         now = self._clock.now()
         while self.in_flight < self.limit:
-            entry = self.queue.pop()
-            if entry is None:
+            item = self.queue.pop()
+            if item is None:
                 break
-            want = self._wants.pop(id(entry.item))
+            want = self._wants.pop(id(item))
             if now + self._routes.get(want.route, 0.0) * LEAST_RUN >= want.deadline:
-                refused.append((entry.item, request.TOO_LATE))
+                refused.append((item, request.TOO_LATE))
                 continue
             self._start()
-            started.append(entry.item)
+            started.append(item)
         return started, refused
 
     def drain_queue(self, reason: Reason) -> list[tuple[T, Reason]]:
         """Take out all that wait, refused for ``reason``."""
-        items = [entry.item for entry in self.queue.entries()]
+        items = self.queue.items()
         for item in items:
             self.withdraw(item)
         return [(item, reason) for item in items]
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -436,6 +436,9 @@
             if self.target.tick():
                 self.explainer.belief("target silent")
                 self._tell_all()
+            elif self.target.load().full > 1.0:
+                # Those who admit work have to know soon.
+                self._tell_all()
             for peer in self.directory.forget():
                 self._keepers.pop(peer.member.address, None)
                 self.explainer.belief("peer forgotten", peer=peer.member.address)
