--- a/beryldrum/cli.py
+++ b/beryldrum/cli.py
@@ -42,6 +42,7 @@
   beryldrum apply payments.yaml --log http://10.0.0.9:7000
   beryldrum key give remenar-01 --log http://10.0.0.9:7000
   beryldrum status --node http://127.0.0.1:7102 --watch
+  beryldrum explain 9c41d07be2a35f68 host-a.log host-b.log
 
 exit codes:
   0 done   1 failed   2 usage or a file that fails its check
@@ -102,7 +103,7 @@
         "Check a file and print every fault.",
         "check settings host.yaml",
     )
-    check.add_argument("kind", choices=("settings", "document"))
+    check.add_argument("kind", choices=("settings", "document", "mesh"))
     check.add_argument("files", nargs="+", metavar="FILE")
 
     apply = _add(
@@ -129,6 +130,19 @@
         _with_log(reader)
         _with_json(reader)
 
+    explain = _add(
+        commands,
+        "explain",
+        operations.explain,
+        "Print a request's story over all hosts, from their log files.",
+        "explain 9c41d07be2a35f68 --around 2 host-a.log host-b.log",
+    )
+    explain.add_argument("request", metavar="ID")
+    explain.add_argument("files", nargs="+", metavar="FILE")
+    explain.add_argument(
+        "--around", type=float, default=0.0, metavar="S", help="with changes of belief around it"
+    )
+
     _add_key(commands)
     _add_hosts(commands)
     return parser
--- a/beryldrum/errors.py
+++ b/beryldrum/errors.py
@@ -19,6 +19,7 @@
     "PeerLostError",
     "RecordError",
     "SettingsError",
+    "StoryError",
     "TargetLostError",
     "TargetUnreachedError",
     "UnreachableError",
@@ -53,6 +54,10 @@
     """A log record cannot be decoded."""
 
 
+class StoryError(BeryldrumError):
+    """No log line speaks of the request asked for."""
+
+
 class FrameError(BeryldrumError):
     """A frame between two nodes is malformed or too large."""
 
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -64,10 +64,14 @@
 
 
 class Refused(NamedTuple):
-    """Why a check refuses a request, and the pause to tell its caller."""
+    """Why a check refuses a request, and the pause to tell its caller.
+
+    ``pending`` is the request as far as it was known then.
+    """
 
     reason: Reason
     retry_after_ms: int = 0
+    pending: Pending | None = None
 
 
 class Check(ABC):
@@ -295,7 +299,7 @@
             return self._refuse("", request.BAD_HEADER, 0)
         admitted = self._admit(asked, now)
         if isinstance(admitted, Refused):
-            self._explain(asked, None, now, admitted.reason.type, 0)
+            self._explain_refusal(asked, admitted)
             return self._refuse(asked.request_id, admitted.reason, admitted.retry_after_ms)
         work = self._work(incoming, admitted)
         self.in_flight += 1
@@ -327,7 +331,7 @@
         for check in self._checks:
             checked = check.check(pending, doc)
             if isinstance(checked, Refused):
-                return checked
+                return checked._replace(pending=pending)
             pending = checked
         return pending
 
@@ -369,9 +373,24 @@
         body = msgspec.json.encode(problem)
         return Outgoing(reason.status, head + b"Content-Type: application/problem+json\r\n", body)
 
-    def _explain(
-        self, asked: Asked, work: Work | None, since: float, outcome: str, status: int
-    ) -> None:
+    def _explain_refusal(self, asked: Asked, refused: Refused) -> None:
+        pending = refused.pending
+        org = pending.organisation if pending else None
+        self._explainer.request(
+            "entry",
+            asked.request_id,
+            refused.reason.type,
+            status=refused.reason.status,
+            route=pending.route.name if pending else "",
+            organisation=org.name if org else "",
+            priority=pending.priority if pending else -1,
+            left_ms=asked.left_ms,
+            retry_after_ms=refused.retry_after_ms,
+            version=self._news.version,
+            proof_ms=self._news.age_ms(),
+        )
+
+    def _explain(self, asked: Asked, work: Work, since: float, outcome: str, status: int) -> None:
         good = outcome == "answered" and status < 500
         note = self._explainer.sample if good else self._explainer.request
         note(
@@ -379,10 +398,10 @@
             asked.request_id,
             outcome,
             status=status,
-            route=work.route.name if work else "",
-            service=work.service if work else "",
-            organisation=work.organisation if work else "",
-            priority=work.priority if work else -1,
+            route=work.route.name,
+            service=work.service,
+            organisation=work.organisation,
+            priority=work.priority,
             left_ms=asked.left_ms,
             took_ms=round((self._clock.now() - since) * 1000, 1),
             version=self._news.version,
--- a/beryldrum/operations.py
+++ b/beryldrum/operations.py
@@ -24,13 +24,27 @@
     LogSilentError,
     LogTruncatedError,
     SettingsError,
+    StoryError,
     UnreachableError,
 )
 from .fold import Fleet, start_from
 from .keyring import digest_of
 from .log import HttpLog, Log, append_settled
-
-__all__ = ["apply", "check", "diff", "drain", "evict", "history", "key", "show", "status"]
+from .mesh import settings as mesh_settings
+from .mesh.story import read, story
+
+__all__ = [
+    "apply",
+    "check",
+    "diff",
+    "drain",
+    "evict",
+    "explain",
+    "history",
+    "key",
+    "show",
+    "status",
+]
 
 KEY_BYTES = 24
 WATCH_PERIOD_S = 1.0
@@ -74,6 +88,8 @@
         try:
             if args.kind == "settings":
                 settings.read(path)
+            elif args.kind == "mesh":
+                mesh_settings.read(path)
             else:
                 document.parse(_read(path), path)
             print(f"{path}: good")
@@ -83,6 +99,16 @@
         raise DocumentError(tuple(faults))
 
 
+async def explain(args: argparse.Namespace) -> None:
+    """Print a request's story; raises StoryError when no line speaks of it."""
+    lines = [line for path in args.files for line in read(_read(path).splitlines(), path)]
+    found = story(lines, args.request, args.around)
+    if not found:
+        raise StoryError(f"no line of {args.request} in {len(lines)} lines")
+    for line in found:
+        print(line)
+
+
 async def publish(log: Log, service: str, text: str, base: int | None, author: str) -> int:
     """Publish a document and return its version.
 
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -152,6 +152,8 @@
         start += LENGTH.size
         record = data[start : start + length]
         start += length
+        if not record:
+            continue
         key_end = 1 + record[0]
         records.append(_Record(record[1:key_end].decode("utf-8", "replace"), record[key_end:]))
     return records
--- /dev/null
+++ b/tests/test_mesh_operators.py
@@ -0,0 +1,123 @@
+"""Settings, log lines, metrics and stories of a mesh node."""
+
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+import structlog
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum import cli
+from beryldrum.clock import ManualClock
+from beryldrum.errors import SettingsError
+from beryldrum.mesh.explain import FAILURES_PER_S, Explainer
+from beryldrum.mesh.metrics import MeshMetrics
+from beryldrum.mesh.settings import parse
+
+SETTINGS = """\
+name: node-1
+data_centre: dc0
+service: shop
+outbound: 10.0.0.1:1
+nodes: 10.0.0.1:2
+ready: 10.0.0.1:3
+control: 10.0.0.1:4
+target: 10.0.0.1:5
+store: 10.0.0.9:6
+"""
+
+
+def line(second, **fields):
+    """Return a log line as a node writes it."""
+    return json.dumps(fields | {"timestamp": f"2026-12-04T08:00:{second:02d}.000000Z"})
+
+
+class SettingsTest(TestCase):
+    """Every fault is told at once."""
+
+    def test_good(self):
+        self.assertEqual("10.0.0.9:6", parse(SETTINGS).store)
+
+    @parameterized.expand(
+        [
+            ("no_store", "store: 10.0.0.9:6\n", "", "store: missing"),
+            ("no_port", "10.0.0.1:2", "10.0.0.1", "nodes: expected ip:port"),
+            ("unknown", "service: shop", "service: shop\nsrevice: x", "srevice: unknown field"),
+            ("ratio", "service: shop", "service: shop\nretry_ratio: much", "retry_ratio: expected"),
+            ("not_yaml", "name: node-1", "name: [", "not YAML"),
+        ]
+    )
+    def test_faults(self, _, old, new, fault):
+        error = self.assertRaises(SettingsError, parse, SETTINGS.replace(old, new))
+        self.assertIn(fault, str(error))
+
+
+class ExplainerTest(TestCase):
+    """Lines are bounded by rate; what is left out is counted."""
+
+    def test_failures_are_not_crowded_out_by_successes(self):
+        with structlog.testing.capture_logs() as lines:
+            explainer = Explainer(structlog.get_logger(), ManualClock())
+            for number in range(500):
+                explainer.sample("entry", f"good-{number}", "answered")
+                explainer.request("entry", f"bad-{number}", "overloaded")
+            explainer.flush()
+        bad = [text for text in lines if text.get("outcome") == "overloaded"]
+        self.assertEqual(FAILURES_PER_S, len(bad))
+        self.assertEqual(500 - FAILURES_PER_S, lines[-1]["count"])
+
+
+class MetricsTest(TestCase):
+    """What the metrics address serves."""
+
+    def test_text(self):
+        metrics = MeshMetrics()
+        metrics.request("answered", 0.02)
+        metrics.request("overloaded", 0.0)
+        text = metrics.text()
+        self.assertIn('beryldrum_requests_total{outcome="overloaded"} 1', text)
+        self.assertIn('beryldrum_answer_seconds{quantile="0.99"} 0.02', text)
+
+
+class StoryTest(TestCase):
+    """``beryldrum explain`` over the logs of several hosts."""
+
+    def explain(self, *args):
+        logs = {
+            "a.log": [
+                line(5, event="request", step="entry", request="r1", outcome="answer-lost"),
+                line(1, event="request", step="entry", request="r2", outcome="overloaded"),
+                "not a line of ours",
+            ],
+            "b.log": [
+                line(3, event="request", step="gate", request="r1.c7", outcome="deadline"),
+                line(4, event="peer lost", peer="10.0.0.2:7"),
+                line(40, event="peer lost", peer="10.0.0.3:7"),
+            ],
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            for name, texts in logs.items():
+                Path(folder, name).write_text("\n".join(texts), encoding="utf-8")
+            out = io.StringIO()
+            files = [str(Path(folder, name)) for name in logs]
+            with contextlib.redirect_stdout(out), contextlib.redirect_stderr(io.StringIO()):
+                code = cli.main(["explain", *args, *files])
+        return code, out.getvalue().splitlines()
+
+    def test_a_request_and_its_calls_in_order(self):
+        code, lines = self.explain("r1")
+        self.assertEqual(0, code)
+        self.assertEqual(2, len(lines))
+        self.assertIn("deadline r1.c7", lines[0])
+        self.assertIn("answer-lost r1", lines[1])
+
+    def test_changes_of_belief_around_it(self):
+        _, lines = self.explain("r1", "--around", "2")
+        self.assertEqual(3, len(lines))
+        self.assertIn("10.0.0.2:7", lines[1])
+
+    def test_unknown(self):
+        self.assertEqual((1, []), self.explain("r9"))
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,226 @@
+"""What is on the platform's wire, good and bad, decoded into the project's types."""
+
+import contextlib
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum.errors import DocumentError, FrameError
+from beryldrum.mesh import frames
+from beryldrum.mesh.conventions import Judgement, Leaving
+from beryldrum.mesh.http import Incoming, Response
+from beryldrum.mesh.target import DRAINING, Announced, Announcement
+from beryldrum.platform.conventions import PlatformConventions
+from beryldrum.platform.documents import decode
+from beryldrum.platform.store import _records
+
+from .mesh_fleet import config, route
+
+CONVENTIONS = PlatformConventions()
+INFORMATION = {"service": "shop", "zone": "dc0", "slots": 4}
+STATUS = {"state": "ready", "sequence": 3, "cold_remaining_ms": 250}
+BEAT = {"address": "10.0.0.1:1", "information": INFORMATION, "status": STATUS, "born": 17}
+
+
+def incoming(target, body=b"", **headers):
+    """Return a request as the listener hands it over."""
+    lines = [(n.replace("_", "-").encode(), v.encode()) for n, v in headers.items()]
+    return Incoming("POST", target, {n.lower(): v for n, v in lines}, lines, body)
+
+
+def beat(**changes):
+    """Return a heartbeat's request."""
+    body = json.dumps(BEAT | changes).encode()
+    return incoming("/rpc?call=instances.heartbeat&of=i-1", body)
+
+
+class StatementTest(TestCase):
+    """Heartbeats and leaves; what cannot be read names no target."""
+
+    def test_heartbeat(self):
+        said = CONVENTIONS.statement(beat())
+        expected = Announcement("i-1", "shop", "10.0.0.1:1", "dc0", 4, "ready", 3, 0.25, 17)
+        self.assertEqual(expected, said)
+
+    def test_leave(self):
+        self.assertEqual(
+            Leaving("i-1"), CONVENTIONS.statement(incoming("/rpc?call=instances.deregister&of=i-1"))
+        )
+
+    @parameterized.expand(
+        [
+            ("not json", incoming("/rpc?call=instances.heartbeat&of=i-1", b"\xff{")),
+            ("no id", incoming("/rpc?call=instances.heartbeat", json.dumps(BEAT).encode())),
+            ("another call", incoming("/rpc?call=instances.list&of=i-1")),
+            ("no status", beat(status=None)),
+            ("an unknown state", beat(status=STATUS | {"state": "asleep"})),
+            ("a sequence that is text", beat(status=STATUS | {"sequence": "3"})),
+            ("no slots", beat(information=INFORMATION | {"slots": 0})),
+            ("slots that are a list", beat(information=INFORMATION | {"slots": [4]})),
+            ("no service", beat(information=INFORMATION | {"service": ""})),
+            ("a list", incoming("/rpc?call=instances.heartbeat&of=i-1", b"[1]")),
+        ]
+    )
+    def test_ignored(self, _, request):
+        self.assertIsNone(CONVENTIONS.statement(request))
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(st.binary(max_size=300), st.text(max_size=60))
+    def test_anything(self, body, target):
+        CONVENTIONS.statement(incoming("/rpc?" + target, body))
+
+
+class AnnouncedTest(TestCase):
+    """Late, early and forged statements of a target."""
+
+    def said(self, sequence=1, target_id="i-1", born=100, state="ready"):
+        return Announcement(target_id, "shop", "a:1", "dc0", 4, state, sequence, 0.0, born)
+
+    @parameterized.expand(
+        [
+            # earlier statements, the one in question, whether it holds
+            ("the first", [], {}, True),
+            ("the next", [{}], {"sequence": 2}, True),
+            ("the same again", [{}], {}, False),
+            ("an older one", [{"sequence": 5}], {"sequence": 4}, False),
+            ("a new start under another id", [{}], {"target_id": "i-2", "born": 200}, True),
+            ("a new start under its id", [{"sequence": 9}], {"born": 200, "sequence": 1}, True),
+            ("an old start after a new one", [{"born": 200}], {"target_id": "i-0"}, False),
+            ("ready after draining", [{"state": DRAINING}], {"sequence": 2}, False),
+        ]
+    )
+    def test_heartbeats(self, _, earlier, news, holds):
+        announced = Announced()
+        for said in earlier:
+            announced.heartbeat(self.said(**said))
+        self.assertEqual(holds, announced.heartbeat(self.said(**news)))
+
+    def test_nothing_said_before_it_left_revives_a_target(self):
+        announced = Announced()
+        announced.heartbeat(self.said())
+        self.assertTrue(announced.leave("i-1", 500))
+        self.assertFalse(announced.heartbeat(self.said(sequence=7)))
+        self.assertEqual(DRAINING, announced.current.state)
+
+    def test_a_leave_that_is_heard_first(self):
+        announced = Announced()
+        self.assertFalse(announced.leave("i-1", 500))
+        self.assertFalse(announced.heartbeat(self.said(born=400)))
+        self.assertTrue(announced.heartbeat(self.said(born=600)))
+
+
+class DocumentTest(TestCase):
+    """The operator's configuration."""
+
+    def test_routes(self):
+        split = [{"service": "shop", "weight": 9}, {"service": "stock", "weight": 1}]
+        routes = (
+            route("all", "/", "shop"),
+            route("deep", "/a/b/", None, weighted_services=split),
+            route("once", "/a/", "stock", kind="unsafe", priority=0),
+        )
+        doc = decode(config(routes=routes))
+        found = {path: doc.route("shop.example", path).name for path in ("/a/b/c", "/a/b", "/x")}
+        self.assertEqual({"/a/b/c": "deep", "/a/b": "once", "/x": "all"}, found)
+        self.assertIsNone(doc.route("other.example", "/a/"))
+        deep = doc.route("shop.example", "/a/b/c")
+        self.assertEqual([("shop", 9.0), ("stock", 1.0)], list(deep.parts))
+        self.assertFalse(doc.route("shop.example", "/a/").idempotent)
+
+    def test_organisations(self):
+        doc = decode(config(rate=5, burst=7, keys=("a", "b")))
+        self.assertEqual(doc.organisations["a"], doc.organisations["b"])
+        self.assertEqual((5, 7), (doc.limited()["mart"].rate_per_s, doc.limited()["mart"].burst))
+
+    @parameterized.expand(
+        [
+            ("not json", b"{"),
+            ("no version", b'{"routes":{"columns":[],"rows":[]}}'),
+            ("a row too short", config().replace(b'"rows": [[', b'"rows": [["x"],[', 1)),
+            ("a route to nowhere", config(routes=(route("r", "/r/", None),))),
+            ("attempts that are text", config(routes=(route("r", "/r/", "shop", attempts="2"),))),
+        ]
+    )
+    def test_refused(self, _, text):
+        self.assertRaises(DocumentError, CONVENTIONS.document, text)
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(
+        st.recursive(
+            st.none() | st.integers() | st.text(max_size=5),
+            _nested := lambda inner: (
+                st.lists(inner, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(
+                        ["version", "routes", "services", "tenants", "columns", "rows", "name"]
+                    ),
+                    inner,
+                    max_size=4,
+                )
+            ),
+        )
+    )
+    def test_anything(self, value):
+        with contextlib.suppress(DocumentError):
+            CONVENTIONS.document(json.dumps(value).encode())
+
+
+class AnswerTest(TestCase):
+    """What a target's answer means."""
+
+    @parameterized.expand(
+        [
+            ("its own success", 200, {"X-Server-Signature": "s"}, Judgement.ANSWERED),
+            ("not its own", 200, {}, Judgement.NOT_ITS_OWN),
+            ("refused", 503, {"X-Not-Executed": "1"}, Judgement.NOT_RUN),
+            ("another instance", 421, {}, Judgement.NOT_RUN),
+            ("a failure", 503, {}, Judgement.FAILED),
+            ("not found", 404, {}, Judgement.ANSWERED),
+        ]
+    )
+    def test_judge(self, _, status, headers, expected):
+        pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
+        self.assertIs(expected, CONVENTIONS.judge(Response(status, pairs, b"")))
+
+    def test_what_concerns_one_connection_is_not_passed_on(self):
+        pairs = [(b"Connection", b"close, X-Hop"), (b"X-Hop", b"1"), (b"Keep-Alive", b"timeout=5")]
+        response = Response(200, [*pairs, (b"X-Kept", b"2")], b"")
+        self.assertEqual(b"X-Kept: 2\r\n", CONVENTIONS.returned(response))
+
+    def test_names_of_ours_are_not_taken_from_callers(self):
+        lines = [(b"x-tenant", b"thief"), (b"Authorization", b"Bearer k"), (b"A", b"b")]
+        head = CONVENTIONS.forwarded(lines, "mart", "shop")
+        self.assertEqual(b"A: b\r\nX-Caller-Service: shop\r\nX-Tenant: mart\r\n", head)
+
+
+class FrameTest(TestCase):
+    """Messages between nodes."""
+
+    @parameterized.expand(
+        [
+            (frames.Run(1, "s", "GET", "/", b"h", b"b", "o", 3, 100, 50, "r", True, "n"),),
+            (frames.Reply(1, 0, 200, b"h", b"b", "", 0, frames.Load("s", 1, 2, 3.0), True),),
+            (frames.Cancel(4),),
+            (frames.DocumentAsk(5),),
+        ]
+    )
+    def test_there_and_back(self, message):
+        self.assertEqual(message, frames.decode(frames.encode(message)[4:]))
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(st.binary(max_size=200))
+    def test_anything(self, body):
+        with contextlib.suppress(FrameError):
+            frames.decode(body)
+
+    def test_an_empty_record_is_passed_over(self):
+        whole = b"\x00\x00\x00\x03\x01kv"
+        self.assertEqual([("k", b"v")], _records(bytes(4) + whole))
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(st.binary(max_size=60))
+    def test_records_that_cannot_be_read(self, data):
+        _records(data)
