--- a/beryldrum/logs.py
+++ b/beryldrum/logs.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from collections.abc import MutableMapping
-from typing import Any, TextIO
+from typing import Any
 
 import msgspec
 import structlog
@@ -24,7 +24,7 @@
     return msgspec.json.encode(event, enc_hook=repr).decode()
 
 
-def setup(level: str, style: str, stream: TextIO | None = None) -> None:
+def setup(level: str, style: str, stream: Any = None) -> None:
     """Configure the log: ``level`` by name, ``style`` json or console."""
     render: Any = structlog.processors.JSONRenderer(_dumps)
     if style == "console":
--- a/beryldrum/mesh/explain.py
+++ b/beryldrum/mesh/explain.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from ..clock import Clock
@@ -44,10 +45,14 @@
 
 
 class Explainer:
-    """The queue of lines and the task that writes them to ``logger``."""
+    """The queue of lines and the task that writes them to ``logger``.
 
-    def __init__(self, logger: Any, clock: Clock) -> None:
+    ``emit`` is called when some lines have been written.
+    """
+
+    def __init__(self, logger: Any, clock: Clock, emit: Callable[[], None] = lambda: None) -> None:
         self._logger = logger
+        self._emit = emit
         self._failures = _Rate(FAILURES_PER_S, clock)
         self._successes = _Rate(SUCCESSES_PER_S, clock)
         self._queue: deque[tuple[str, dict[str, Any]]] = deque()
@@ -84,6 +89,7 @@
         if count and self.left_out:
             self._logger.info("lines left out", count=self.left_out)
             self.left_out = 0
+        self._emit()
         return count
 
     async def run(self) -> None:
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -116,6 +116,7 @@
         store: Store,
         logger: Any,
         clock: Clock | None = None,
+        emit: Callable[[], None] = lambda: None,
     ) -> None:
         self.cfg = cfg
         self.clock = clock or SystemClock()
@@ -124,7 +125,7 @@
         self._logger = logger
         self._rng = random.Random(f"{cfg.name} {self.clock.wall_ms()}")
         self.member = Member(cfg.nodes, cfg.data_centre, self.clock.wall_ms())
-        self.explainer = Explainer(logger, self.clock)
+        self.explainer = Explainer(logger, self.clock, emit)
         self.metrics = MeshMetrics()
         self.news = FleetNews(self.clock)
         self.directory = Directory(self.clock, self.member)
--- a/beryldrum/platform/process.py
+++ b/beryldrum/platform/process.py
@@ -6,6 +6,7 @@
 import structlog
 
 from .. import logs
+from ..mesh.lines import LineWriter
 from ..mesh.node import MeshNode, serve
 from ..mesh.settings import MeshSettings, read
 from .conventions import PlatformConventions
@@ -41,6 +42,8 @@
     """Run the node that the settings file describes until it is stopped."""
     file = _File(os.environ[PATH_VARIABLE])
     cfg = file.read()
-    logs.setup(cfg.log_level, "json", sys.stdout)
-    node = MeshNode(cfg, PlatformConventions(), PlatformStore(cfg.store), structlog.get_logger())
+    lines = LineWriter(sys.stdout.fileno())
+    logs.setup(cfg.log_level, "json", lines)
+    conventions, store = PlatformConventions(), PlatformStore(cfg.store)
+    node = MeshNode(cfg, conventions, store, structlog.get_logger(), emit=lines.emit)
     await serve(node, file.read, file.changed)
--- a/tests/test_mesh_operators.py
+++ b/tests/test_mesh_operators.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import json
+import os
 import tempfile
 from pathlib import Path
 
@@ -14,6 +15,7 @@
 from beryldrum.clock import ManualClock
 from beryldrum.errors import SettingsError
 from beryldrum.mesh.explain import FAILURES_PER_S, Explainer
+from beryldrum.mesh.lines import LineWriter
 from beryldrum.mesh.metrics import MeshMetrics
 from beryldrum.mesh.settings import parse
 
@@ -70,6 +72,22 @@
         self.assertEqual(500 - FAILURES_PER_S, lines[-1]["count"])
 
 
+class LineWriterTest(TestCase):
+    """Standard output that nobody reads stops nothing."""
+
+    def test_a_full_pipe(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        lines = LineWriter(writer)
+        for _ in range(20):
+            lines.write("x" * 99_999 + "\n")
+            lines.emit()
+        self.assertGreater(lines.dropped, 0)
+        self.assertTrue(os.read(reader, 100_000).startswith(b"xxx"))
+        lines.emit()
+
+
 class MetricsTest(TestCase):
     """What the metrics address serves."""
 
