--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -32,6 +32,10 @@
 FLEET = "tests/test_fleet.py::"
 OVERLOAD = "tests/test_overload.py::"
 GATE = "tests/test_gate.py::"
+REQUESTS = "tests/test_mesh_requests.py::RequestsTest::"
+MESH = "tests/test_mesh_overload.py::"
+QUOTA = "tests/test_mesh_quota.py::QuotaTest"
+ADAPTER = "tests/test_platform_adapter.py::"
 MUTANTS = (
     Mutant(
         "retries stay bounded end to end",
@@ -243,6 +247,118 @@
         "        return\n",
         FLEET + "ConfigurationTest::test_a_replaced_node_learns_from_peers_while_the_log_is_away",
     ),
+    Mutant(
+        "mesh: a once-only request is not sent again",
+        "mesh/entry.py",
+        "        if not work.route.idempotent or handed >= work.route.attempts:\n",
+        "        if handed >= work.route.attempts:\n",
+        REQUESTS + "test_target_08_broken_off_once_only",
+    ),
+    Mutant(
+        "mesh: an answer to another request is passed over",
+        "mesh/http.py",
+        "                return value == self._request_id\n",
+        "                return True\n",
+        REQUESTS + "test_target_01_an_answer_to_another_request_comes_first",
+    ),
+    Mutant(
+        "mesh: a success that is not the target's own is none",
+        "platform/conventions.py",
+        "            return Judgement.NOT_ITS_OWN\n",
+        "            return Judgement.ANSWERED\n",
+        REQUESTS + "test_target_10_a_success_not_its_own_once_only",
+    ),
+    Mutant(
+        "mesh: a key needs recent proof",
+        "mesh/entry.py",
+        "        if age_s > self._proof_s:\n",
+        "        if False:\n",
+        REQUESTS + "test_a_withdrawn_key_stops_without_news",
+    ),
+    Mutant(
+        "mesh: news travel between nodes",
+        "mesh/node.py",
+        "                await self._copy(link)\n",
+        "                pass\n",
+        REQUESTS + "test_news_travel_between_nodes_when_the_store_serves_one",
+    ),
+    Mutant(
+        "mesh: a dropped history is noticed",
+        "platform/store.py",
+        "            return await self.configuration()\n        waited",
+        "            return Watch(None, end, 0.0)\n        waited",
+        REQUESTS + "test_history_that_was_dropped",
+    ),
+    Mutant(
+        "mesh: a leaving target gets nothing new",
+        "mesh/target_side.py",
+        "            return request.LEAVING\n",
+        "            return None\n",
+        REQUESTS + "test_a_leaving_target_gets_nothing_new",
+    ),
+    Mutant(
+        "mesh: a stopping node finishes what runs",
+        "mesh/node.py",
+        "        while self.clock.now() < last:\n",
+        "        while False:\n",
+        REQUESTS + "test_nothing_is_lost_when_a_node_stops",
+    ),
+    Mutant(
+        "mesh: what a caller has left is cancelled",
+        "mesh/links.py",
+        "                protocol.send(frames.Cancel(sequence))\n",
+        "                pass\n",
+        REQUESTS + "test_a_caller_that_leaves_0_repeatable",
+    ),
+    Mutant(
+        "mesh: a once-only run is let finish",
+        "mesh/target_side.py",
+        "        return await asyncio.shield(task)\n",
+        "        return await task\n",
+        REQUESTS + "test_a_caller_that_leaves_1_once_only",
+    ),
+    Mutant(
+        "mesh: a silent node keeps its part of a rate",
+        "mesh/quota.py",
+        "                other.demand = max(other.demand, usual)\n",
+        "                pass\n",
+        QUOTA,
+    ),
+    Mutant(
+        "mesh: parts of a rate by equally old demand",
+        "mesh/quota.py",
+        "        own = max(b.told[0], LEAST_DEMAND)\n",
+        "        own = max(b.demand, LEAST_DEMAND)\n",
+        QUOTA,
+    ),
+    Mutant(
+        "mesh: whole requests are refused at the entry",
+        "mesh/admission.py",
+        "        return priority < arrivals.threshold\n",
+        "        return True\n",
+        MESH + "AdmissionTest",
+    ),
+    Mutant(
+        "mesh: retries go to the most important",
+        "mesh/budget.py",
+        "        if order >= self._bound:\n",
+        "        if False:\n",
+        MESH + "RetryBudgetTest",
+    ),
+    Mutant(
+        "mesh: who has least time to spare goes first",
+        "mesh/queue.py",
+        "        bisect.insort(self._entries, Waiting(item, start_by), key=_start_by)\n",
+        "        self._entries.append(Waiting(item, start_by))\n",
+        MESH + "GateTest",
+    ),
+    Mutant(
+        "mesh: a late heartbeat revives nobody",
+        "mesh/target.py",
+        "        if ended_ms is not None and news.born_ms <= ended_ms:\n",
+        "        if False:\n",
+        ADAPTER + "AnnouncedTest",
+    ),
 )
 
 
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -110,11 +110,12 @@
         async with Fleet("shop", "stock") as fleet:
             shop, stock = await fleet.serve()
             shop.target.script.append("hang")
-            asking = asyncio.create_task(stock.ask(path, method, left_ms=1500))
+            asking = asyncio.create_task(stock.ask(path, method, left_ms=60_000))
             await until(lambda: len(shop.target.runs) == 1)
             asking.cancel()
             if dropped:
-                await until(lambda: shop.target.dropped == 1)
+                # Long before the route's time limit would end the run.
+                await until(lambda: shop.target.dropped == 1, seconds=3.0)
             else:
                 await until(lambda: stock.node.entry.in_flight == 0)
                 # What may run only once is let run to its end.
@@ -136,7 +137,12 @@
                 host.target.script.extend(["slow"] * 40)
             asking = [asyncio.create_task(host.ask()) for host in (one, two) for _ in range(3)]
             await until(lambda: len(one.target.runs) + len(two.target.runs) >= 6)
-            draining = asyncio.create_task(one.node.drain())
+
+            async def stop():
+                await one.node.drain()
+                await one.node.close()
+
+            draining = asyncio.create_task(stop())
             await asyncio.sleep(0)
             self.assertFalse(one.node.ready())
             # A caller may not have noticed yet.
