Retries to the same targets again, bounded by what is wanted most

Change: the bound is set by a histogram of what is wanted; once the route's attempts are used up, the targets that were asked may be asked again.

--- a/beryldrum/mesh/budget.py
+++ b/beryldrum/mesh/budget.py
@@ -11,17 +11,14 @@
 
 __all__ = ["MOST_ORDER", "RetryBudget"]
 
-MOST_ORDER = 4096
+MOST_ORDER = 1024
 """Orders of requests: 0 is retried first."""
 
 WINDOW_S = 0.25
 """Period at which the bound on orders moves."""
 
-FALL, RISE = 0.85, 1.08
-"""Factors of that bound in a window in which the budget ran out, or did not."""
-
-LEAST_BOUND = 64
-"""Least bound, so that it can rise again."""
+FORGET = 0.8
+"""Weight that past windows keep: half after 0.8 s."""
 
 
 class RetryBudget:
@@ -29,26 +26,34 @@
 
     def __init__(self, clock: Clock, ratio: float, burst: float) -> None:
         self._clock = clock
+        self._ratio = ratio
         self._budget = Budget(ratio, burst)
-        self._bound = float(MOST_ORDER)
-        self._ran_out = False
+        self._requests = 0.0
+        self._wanted = [0.0] * MOST_ORDER
+        self._bound = MOST_ORDER
         self._at = clock.now()
 
     def deposit(self) -> None:
         """Count a first attempt."""
+        self._requests += 1.0
         self._budget.deposit()
 
     def spend(self, order: int) -> bool:
         """Take one retry for a request of ``order``; False when there is none for it."""
-        now = self._clock.now()
-        if now - self._at >= WINDOW_S:
-            factor = FALL if self._ran_out else RISE
-            self._bound = min(MOST_ORDER, max(LEAST_BOUND, self._bound * factor))
-            self._ran_out = False
-            self._at = now
-        if order >= self._bound:
-            return False
-        if self._budget.spend():
-            return True
-        self._ran_out = True
-        return False
+        if self._clock.now() - self._at >= WINDOW_S:
+            self._move()
+        self._wanted[order] += 1.0
+        return order < self._bound and self._budget.spend()
+
+    def _move(self) -> None:
+        """Set the bound so that what is wanted beneath it can be had."""
+        self._at = self._clock.now()
+        left = self._requests * self._ratio
+        self._bound = MOST_ORDER
+        for order, count in enumerate(self._wanted):
+            left -= count
+            if left < 0.0:
+                self._bound = max(1, order)
+                break
+        self._wanted = [count * FORGET for count in self._wanted]
+        self._requests *= FORGET
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -37,8 +37,8 @@
 NEGATIVE_AGE_S = 2.0
 """A key or route that is not in a document proved longer ago may be in a newer one."""
 
-GATES_TRIED = 4
-"""Gates that are asked for one request; a gate's refusal costs its target nothing."""
+MOST_ATTEMPTS = 8
+"""Attempts for one request; most are refusals of gates, which cost targets nothing."""
 
 ROUTE_RANKS = 4
 """Ranks of routes that are told apart within one rank of organisations."""
@@ -177,25 +177,24 @@
         """Return the outcome of the request over all its attempts."""
         budget = self._budget(work.service)
         budget.deposit()
-        tried: set[str] = set()
-        handed = 0
+        refused: set[str] = set()
+        targets: set[str] = set()
         maybe_ran = False
         reply = not_run(request.NO_TARGET, RETRY_SOON_MS)
-        while len(tried) < GATES_TRIED:
-            route = work.route
-            candidates = self._candidates(work.service)
-            limit_s = min(route.objective_s, route.timeout_s)
-            peer = self._placement.choose(candidates, route.name, limit_s, tried)
+        for _ in range(MOST_ATTEMPTS):
+            peer = self._choose(work, refused, targets)
             if peer is None:
                 break
-            tried.add(peer.member.address)
-            last = reply
-            reply = await self._attempt(peer, work)
-            if reply.reason == request.NO_TARGET.type and last.reason:
-                reply = last if last.reason != request.NO_TARGET.type else reply
-            handed += reply.handed
+            last, reply = reply, await self._attempt(peer, work)
+            if reply.handed:
+                targets.add(peer.member.address)
+            else:
+                refused.add(peer.member.address)
+            if reply.reason == request.NO_TARGET.type:
+                # Its neighbour knew better why not.
+                reply = last if last.reason else reply
             maybe_ran = maybe_ran or reply.outcome != Outcome.NOT_RUN
-            if not self._again(work, reply, handed):
+            if not self._again(work, reply):
                 break
             if reply.handed and not budget.spend(self._order(work)):
                 break
@@ -204,6 +203,15 @@
             reply = unknown(request.LOST)
         return reply
 
+    def _choose(self, work: Work, refused: set[str], targets: set[str]) -> Peer | None:
+        route = work.route
+        candidates = self._candidates(work.service)
+        if len(targets) >= route.attempts:
+            # No further target may be asked, but those that were may be again.
+            candidates = [p for p in candidates if p.member.address in targets]
+        limit_s = min(route.objective_s, route.timeout_s)
+        return self._placement.choose(candidates, route.name, limit_s, refused)
+
     def _order(self, work: Work) -> int:
         step = MOST_ORDER // NO_LEVEL
         spread = xxhash.xxh32_intdigest(self._root(work.request_id).encode()) % step
@@ -218,16 +226,12 @@
         self._self.sent = 0
         return [self._self, *peers]
 
-    def _again(self, work: Work, reply: Reply, handed: int) -> bool:
+    def _again(self, work: Work, reply: Reply) -> bool:
         if (work.deadline - self._clock.now()) * 1000 < LAST_MS:
             return False
         if reply.outcome == Outcome.NOT_RUN:
-            if reply.reason == request.TOO_LATE.type:
-                return False
-            return not reply.handed or handed < work.route.attempts
-        if not work.route.idempotent or handed >= work.route.attempts:
-            return False
-        return reply.reason == request.LOST.type
+            return reply.reason != request.TOO_LATE.type
+        return work.route.idempotent and reply.reason == request.LOST.type
 
     async def _attempt(self, peer: Peer, work: Work) -> Reply:
         now = self._clock.now()
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -66,7 +66,7 @@
 """Taken off the time in which a withdrawn key must stop working, for clocks that run
 at different speeds and for the way of a request to its target."""
 
-RETRY_SHARE = 0.7
+RETRY_SHARE = 0.85
 """Part of the fleet's retry budget that is used."""
 
 GATE_STAYS_S = 2.0
