--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -173,8 +173,11 @@
         self._root = root
         self._self = Peer(directory.own, clock.now())
 
-    async def make(self, work: Work) -> Reply:
-        """Return the outcome of the request over all its attempts."""
+    async def make(self, work: Work, asked: list[str]) -> Reply:
+        """Return the outcome of the request over all its attempts.
+
+        The addresses of the nodes that were asked are added to ``asked``.
+        """
         budget = self._budget(work.service)
         budget.deposit()
         refused: set[str] = set()
@@ -185,6 +188,7 @@
             peer = self._choose(work, refused, targets)
             if peer is None:
                 break
+            asked.append(peer.member.address)
             last, reply = reply, await self._attempt(peer, work)
             if reply.handed:
                 targets.add(peer.member.address)
@@ -306,16 +310,17 @@
             self._explain_refusal(asked, admitted)
             return self._refuse(asked.request_id, admitted.reason, admitted.retry_after_ms)
         work = self._work(incoming, admitted)
+        nodes: list[str] = []
         self.in_flight += 1
         try:
-            reply = await self._attempts.make(work)
+            reply = await self._attempts.make(work, nodes)
         except asyncio.CancelledError:
-            self._explain(asked, work, now, "caller-left", 0)
+            self._explain(asked, work, now, "caller-left", 0, nodes)
             self._done("caller-left", 0.0)
             raise
         finally:
             self.in_flight -= 1
-        return self._finish(asked, work, reply, now)
+        return self._finish(asked, work, reply, now, nodes)
 
     def _admit(self, asked: Asked, now: float) -> Pending | Refused:
         doc = self._news.document
@@ -357,15 +362,17 @@
             asked.request_id,
         )
 
-    def _finish(self, asked: Asked, work: Work, reply: Reply, since: float) -> Outgoing:
+    def _finish(
+        self, asked: Asked, work: Work, reply: Reply, since: float, nodes: list[str]
+    ) -> Outgoing:
         reason = reason_of(reply)
         if reply.outcome == Outcome.NOT_RUN and work.organisation:
             self._quotas.give_back(work.organisation)
         if reason is None:
-            self._explain(asked, work, since, "answered", reply.status)
+            self._explain(asked, work, since, "answered", reply.status, nodes)
             self._done("answered", self._clock.now() - since)
             return Outgoing(reply.status, reply.head, reply.body)
-        self._explain(asked, work, since, reason.type, reason.status)
+        self._explain(asked, work, since, reason.type, reason.status, nodes)
         return self._refuse(asked.request_id, reason, reply.retry_after_ms)
 
     def _refuse(self, request_id: str, reason: Reason, pause_ms: int) -> Outgoing:
@@ -394,7 +401,15 @@
             proof_ms=self._news.age_ms(),
         )
 
-    def _explain(self, asked: Asked, work: Work, since: float, outcome: str, status: int) -> None:
+    def _explain(
+        self,
+        asked: Asked,
+        work: Work,
+        since: float,
+        outcome: str,
+        status: int,
+        nodes: list[str],
+    ) -> None:
         good = outcome == "answered" and status < 500
         note = self._explainer.sample if good else self._explainer.request
         note(
@@ -405,6 +420,7 @@
             route=work.route.name,
             service=work.service,
             organisation=work.organisation,
+            nodes=nodes,
             priority=work.priority,
             left_ms=asked.left_ms,
             took_ms=round((self._clock.now() - since) * 1000, 1),
