--- a/beryldrum/mesh/graph.py
+++ b/beryldrum/mesh/graph.py
@@ -134,6 +134,9 @@
         return found
 
     def _walk(self, route: Route) -> frozenset[str]:
+        if not self._next:
+            # Until any call is known each service may be on the way.
+            return frozenset(self._services.values())
         seen, todo = {route.name}, [route.name]
         while todo:
             for name in self._next.get(todo.pop(), ()):
--- a/beryldrum/mesh/pressure.py
+++ b/beryldrum/mesh/pressure.py
@@ -14,7 +14,7 @@
 what is admitted is felt at the gate, by way of the entries and the graph."""
 
 
-DRAIN_S = 0.6
+DRAIN_S = 0.3
 """Time in which a queue is to be worked off."""
 
 LEAST_LEFT = 0.3
