--- a/beryldrum/logs.py
+++ b/beryldrum/logs.py
@@ -2,7 +2,9 @@
 
 import logging
 import sys
+import time
 from collections.abc import MutableMapping
+from datetime import UTC, datetime
 from typing import Any
 
 import msgspec
@@ -20,6 +22,14 @@
     return event
 
 
+def stamp(_: Any, __: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+    """Add the time, or state the one given in milliseconds since the epoch."""
+    given = event.get("timestamp")
+    seconds = time.time() if given is None else given / 1000
+    event["timestamp"] = datetime.fromtimestamp(seconds, UTC).isoformat().replace("+00:00", "Z")
+    return event
+
+
 def _dumps(event: Any, **_: Any) -> str:
     return msgspec.json.encode(event, enc_hook=repr).decode()
 
@@ -32,7 +42,7 @@
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            stamp,
             hide_secrets,
             structlog.processors.format_exc_info,
             render,
--- a/beryldrum/mesh/explain.py
+++ b/beryldrum/mesh/explain.py
@@ -52,6 +52,7 @@
 
     def __init__(self, logger: Any, clock: Clock, emit: Callable[[], None] = lambda: None) -> None:
         self._logger = logger
+        self._clock = clock
         self._emit = emit
         self._failures = _Rate(FAILURES_PER_S, clock)
         self._successes = _Rate(SUCCESSES_PER_S, clock)
@@ -78,6 +79,8 @@
         if len(self._queue) >= MOST_QUEUED:
             self.left_out += 1
             return
+        # The time of the decision, not that of the line.
+        fields["timestamp"] = self._clock.wall_ms()
         self._queue.append((event, fields))
 
     def flush(self, most: int = MOST_QUEUED) -> int:
