--- a/beryldrum/mesh/budget.py
+++ b/beryldrum/mesh/budget.py
@@ -17,6 +17,10 @@
 WINDOW_S = 0.25
 """Period at which the bound on orders moves."""
 
+LEEWAY = 1.5
+"""What may be wanted beneath the bound, as a part of what can be had: wants come
+unevenly, and what is not used in a moment is lost."""
+
 FORGET = 0.8
 """Weight that past windows keep: half after 0.8 s."""
 
@@ -48,7 +52,7 @@
     def _move(self) -> None:
         """Set the bound so that what is wanted beneath it can be had."""
         self._at = self._clock.now()
-        left = self._requests * self._ratio
+        left = self._requests * self._ratio * LEEWAY
         self._bound = MOST_ORDER
         for order, count in enumerate(self._wanted):
             left -= count
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -191,7 +191,7 @@
         budget = self._budgets.get(service)
         if budget is None:
             nodes = len(self.directory.peers) + 1
-            burst = max(1.0, self.cfg.retry_slack / nodes / 2)
+            burst = max(1.0, self.cfg.retry_slack * RETRY_SHARE / nodes)
             ratio = self.cfg.retry_ratio * RETRY_SHARE
             budget = self._budgets[service] = RetryBudget(self.clock, ratio, burst)
         return budget
