--- a/beryldrum/mesh/directory.py
+++ b/beryldrum/mesh/directory.py
@@ -44,7 +44,6 @@
         """Tells for how many seconds it has owed every answer."""
         self.sent = 0
         """Runs given to it since its load was last heard."""
-        self.in_flight = 0
         self._took: dict[str, _Took] = {}
 
     def took(self, route: str, seconds: float, now: float) -> None:
--- a/beryldrum/mesh/document.py
+++ b/beryldrum/mesh/document.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["FleetDocument", "Limits", "Organisation", "Part", "Route", "Service"]
+__all__ = ["FleetDocument", "Limits", "Organisation", "Part", "Route"]
 
 
 class Part(NamedTuple):
@@ -36,13 +36,6 @@
     open: bool
 
 
-class Service(NamedTuple):
-    """What all targets of a service have in common."""
-
-    name: str
-    most_connections: int
-
-
 class Organisation(NamedTuple):
     """A customer; ``rate_per_s`` 0 means no limit, ``priority`` None the route's."""
 
@@ -68,7 +61,7 @@
         self,
         version: int,
         routes: tuple[Route, ...],
-        services: dict[str, Service],
+        services: frozenset[str],
         organisations: dict[str, Organisation],
         limits: Limits,
     ) -> None:
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -242,7 +242,6 @@
         left_s = work.deadline - now
         if left_s * 1000 < LAST_MS:
             return not_run(request.TOO_LATE)
-        peer.in_flight += 1
         peer.sent += 1
         target = None if peer is self._self else peer
         try:
@@ -252,8 +251,6 @@
         except TimeoutError:
             peer.took(work.route.name, left_s, now + left_s)
             return unknown(request.TIMED_OUT)
-        finally:
-            peer.in_flight -= 1
         if reply.load is not None and target is not None:
             self._directory.loaded(peer, reply.load)
         if reply.handed:
--- a/beryldrum/mesh/http.py
+++ b/beryldrum/mesh/http.py
@@ -9,7 +9,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections import deque
-from typing import Any, NamedTuple, cast
+from typing import NamedTuple, cast
 
 import httptools
 
@@ -388,7 +388,6 @@
     def _begin(self) -> None:
         self._headers: list[Header] = []
         self._body: list[bytes] = []
-        self._size = 0
         self._framed = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -519,7 +518,6 @@
         self.address = address
         self._echo = echo
         self._idle: list[ClientConnection] = []
-        self.opened = 0
 
     async def request(
         self,
@@ -566,7 +564,6 @@
                 await loop.create_connection(lambda: conn, host, int(port))
         except (OSError, TimeoutError) as exc:
             raise TargetUnreachedError(self.address) from exc
-        self.opened += 1
         return conn
 
     def sweep(self) -> None:
@@ -582,8 +579,3 @@
         for conn in self._idle:
             conn.close()
         self._idle.clear()
-
-
-def head_lines(lines: Any) -> bytes:
-    """Return header lines from pairs of names and values."""
-    return b"".join(b"%s: %s\r\n" % pair for pair in lines)
--- a/beryldrum/mesh/links.py
+++ b/beryldrum/mesh/links.py
@@ -30,7 +30,8 @@
     def message(self, message: frames.Message, link: "LinkProtocol") -> None:
         """Handle a message that came over ``link``."""
 
-    def link_made(self, link: "LinkProtocol") -> None:  # noqa: B027
+    @abstractmethod
+    def link_made(self, link: "LinkProtocol") -> None:
         """Note that ``link`` stands."""
 
     @abstractmethod
@@ -129,6 +130,9 @@
             raise PeerLostError(self.address, sent=False) from exc
         self._protocol = protocol
 
+    def link_made(self, link: LinkProtocol) -> None:
+        self._heard_at = asyncio.get_running_loop().time()
+
     def message(self, message: frames.Message, link: LinkProtocol) -> None:
         self._heard_at = asyncio.get_running_loop().time()
         if isinstance(message, frames.Reply | frames.State | frames.Document):
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -133,7 +133,6 @@
         self.graph = CallGraph(self.clock)
         self.target = TargetSide(self.clock, conventions, self.explainer, self.graph.ran)
         self.stopping = False
-        self._stop_at = 0.0
         self._budgets: dict[str, RetryBudget] = {}
         self._links: dict[str, Link] = {}
         self._keepers: dict[str, asyncio.Task[None]] = {}
--- a/beryldrum/mesh/target_side.py
+++ b/beryldrum/mesh/target_side.py
@@ -51,7 +51,6 @@
         self._ran = ran
         self.announced = Announced()
         self.stopping = False
-        self.opened = 0
         self._heard_at = 0.0
         self._pool: Pool | None = None
         self._gate: Gate[Slot] | None = None
--- a/beryldrum/platform/documents.py
+++ b/beryldrum/platform/documents.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..mesh.document import FleetDocument, Limits, Organisation, Part, Route, Service
+from ..mesh.document import FleetDocument, Limits, Organisation, Part, Route
 
 __all__ = ["decode"]
 
@@ -67,7 +67,6 @@
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 0
 
 
 class _Organisation(msgspec.Struct):
@@ -94,7 +93,7 @@
     return FleetDocument(
         cfg.version,
         tuple(_route(msgspec.convert(record, _Route)) for record in cfg.routes.records()),
-        {row.name: Service(row.name, row.max_connections) for row in services},
+        frozenset(row.name for row in services),
         organisations,
         Limits(
             limits.max_header_bytes,
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -35,7 +35,6 @@
     key: str
     value: str
     """In base64."""
-    offset: int
 
 
 class _Newest(msgspec.Struct):
@@ -44,10 +43,6 @@
     end_offset: int
 
 
-class _Gone(msgspec.Struct):
-    first_offset: int = 0
-
-
 class _Record(NamedTuple):
     key: str
     value: bytes
