--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -322,7 +322,7 @@
     def _admit(self, asked: Asked, now: float) -> Pending | Refused:
         doc = self._news.document
         if doc is None:
-            return Refused(request.KEYS_STALE, RETRY_SOON_MS)
+            return Refused(request.NO_CONFIG, RETRY_SOON_MS)
         route = doc.route(asked.host, asked.path)
         if route is None:
             stale = self._news.age_s() > NEGATIVE_AGE_S
--- a/beryldrum/mesh/http.py
+++ b/beryldrum/mesh/http.py
@@ -26,6 +26,7 @@
     "Outgoing",
     "Pool",
     "Response",
+    "report",
 ]
 
 CONNECT_TIMEOUT_S = 1.0
@@ -98,6 +99,12 @@
         return b""
 
 
+def report(exc: Exception, what: str) -> None:
+    """Report a fault of ours to the event loop, which logs it."""
+    context = {"message": f"fault while handling {what}", "exception": exc}
+    asyncio.get_running_loop().call_exception_handler(context)
+
+
 class HttpService(ABC):
     """Answers the requests of a listener."""
 
@@ -259,6 +266,10 @@
             outgoing = await self._service.answer(incoming)
         except asyncio.CancelledError:
             return
+        except Exception as exc:
+            # A fault of ours: whether the request has run is not known.
+            report(exc, "a request")
+            outgoing = Outgoing(500, close=True)
         finally:
             self._task = None
             if self._held and incoming.body:
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -23,7 +23,7 @@
 from .frames import Cancel, Document, DocumentAsk, Member, Message, Reply, Run, State
 from .gate import CALL_PRIORITY, call_priority
 from .graph import CallGraph
-from .http import BodyMemory, HttpListener, HttpService, Incoming, Outgoing
+from .http import BodyMemory, HttpListener, HttpService, Incoming, Outgoing, report
 from .links import Link, LinkHandler, LinkProtocol, listen
 from .metrics import MeshMetrics
 from .news import FleetNews
@@ -33,6 +33,7 @@
 from .store import Store
 from .target import Announcement
 from .target_side import TargetSide
+from .work import unknown
 
 __all__ = ["MeshNode", "serve"]
 
@@ -225,7 +226,11 @@
         return reply
 
     async def _serve_run(self, run: Run, link: LinkProtocol) -> None:
-        reply = await self.target.run(run)
+        try:
+            reply = await self.target.run(run)
+        except Exception as exc:
+            report(exc, "a run")
+            reply = unknown(request.FAULT)
         reply.sequence = run.sequence
         link.send(reply)
 
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -121,6 +121,19 @@
                 # What may run only once is let run to its end.
                 self.assertEqual(0, shop.target.dropped)
 
+    async def test_a_fault_of_ours_is_answered(self):
+        async with Fleet("shop", "stock") as fleet:
+            shop, stock = await fleet.serve()
+            faults = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: faults.append(context["exception"]))
+            shop.node.target._conventions = None
+            # At the gate, and at the entry itself.
+            self.assertEqual(500, (await stock.ask()).status)
+            stock.node.entry._conventions = None
+            self.assertEqual(500, (await stock.ask()).status)
+            self.assertEqual(2, len(faults))
+
     async def test_a_leaving_target_gets_nothing_new(self):
         async with Fleet("shop", "shop") as fleet:
             one, two = await fleet.serve()
