--- /dev/null
+++ b/beryldrum/mesh/client.py
@@ -0,0 +1,251 @@
+"""The asking side of HTTP/1.1: connections to targets and to the store.
+
+Strict where a proxy that promises *not run* has to be: no answer that belongs to
+another request, none that ended early, and nothing sent twice.
+"""
+
+import asyncio
+import time
+from typing import NamedTuple, cast
+
+import httptools
+
+from ..errors import TargetLostError, TargetUnreachedError
+from .http import Header
+
+__all__ = ["Pool", "Response"]
+
+CONNECT_TIMEOUT_S = 1.0
+"""A target on this host or a store in this region accepts within some ms."""
+
+IDLE_MOST_S = 4.0
+"""Idle connections to a target that states no keep-alive time are used this long."""
+
+KEEP_ALIVE_MARGIN_S = 1.0
+"""Taken off the keep-alive time that a peer states in whole seconds."""
+
+
+class Response(NamedTuple):
+    """A whole answer of a target or of the store."""
+
+    status: int
+    headers: list[Header]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes:
+        """Return the value of the header with a lower-case ``name``, or empty."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return b""
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection to a target or to the store, with one request at a time."""
+
+    def __init__(self, echo: bytes) -> None:
+        self._echo = echo
+        self._request_id = b""
+        self._head_only = False
+        self.used_at = time.monotonic()
+        self.idle_s = IDLE_MOST_S
+        self.reusable = True
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._fut: asyncio.Future[Response] | None = None
+        self._begin()
+
+    def _begin(self) -> None:
+        self._headers: list[Header] = []
+        self._body: list[bytes] = []
+        self._framed = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    @property
+    def open(self) -> bool:
+        """Whether the connection can take a request."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def send(self, data: bytes, request_id: bytes, head_only: bool) -> "asyncio.Future[Response]":
+        """Send a request and return the future of its answer.
+
+        ``request_id`` is what the answer has to echo if it echoes anything; empty
+        to take any answer.
+        """
+        assert self._transport is not None
+        self._request_id = request_id
+        self._head_only = head_only
+        self._fut = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        return self._fut
+
+    def data_received(self, data: bytes) -> None:
+        if self._fut is None:
+            # Bytes that nobody asked for: the next answer here could be another's.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._lose("upgrade")
+        except httptools.HttpParserError as exc:
+            self._lose(type(exc).__name__)
+
+    def eof_received(self) -> None:
+        if self._fut is not None and self._headers and not self._framed:
+            self.reusable = False
+            self._deliver()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._lose("closed" if exc is None else type(exc).__name__)
+
+    def _lose(self, why: str) -> None:
+        self.reusable = False
+        fut, self._fut = self._fut, None
+        if fut is not None and not fut.done():
+            fut.set_exception(TargetLostError(why))
+        self.abort()
+
+    def on_message_begin(self) -> None:
+        if self._fut is None:
+            self.reusable = False
+        self._begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        names = {name.lower() for name, _ in self._headers}
+        sized = b"content-length" in names or b"transfer-encoding" in names
+        self._framed = sized or status < 200 or status in (204, 304)
+        if self._head_only and status >= 200 and self._fut is not None:
+            self.reusable = False
+            self._deliver()
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status < 200 or self._fut is None:
+            return
+        if not self._own():
+            # A late second answer to an earlier request; ours is yet to come.
+            self.reusable = False
+            return
+        self.reusable = self.reusable and self._parser.should_keep_alive()
+        self._deliver()
+
+    def _own(self) -> bool:
+        if not self._request_id:
+            return True
+        for name, value in self._headers:
+            if name.lower() == self._echo:
+                return value == self._request_id
+        return True
+
+    def _deliver(self) -> None:
+        fut, self._fut = self._fut, None
+        for name, value in self._headers:
+            if name.lower() == b"keep-alive":
+                self.idle_s = _keep_alive_s(value)
+        self.used_at = time.monotonic()
+        if fut is not None and not fut.done():
+            status = self._parser.get_status_code()
+            fut.set_result(Response(status, self._headers, b"".join(self._body)))
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+def _keep_alive_s(value: bytes) -> float:
+    for part in value.split(b","):
+        name, _, number = part.partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return max(0.0, min(IDLE_MOST_S, int(number) - KEEP_ALIVE_MARGIN_S))
+    return IDLE_MOST_S
+
+
+class Pool:
+    """The connections to one address.
+
+    ``echo`` is the lower-case name of the header in which answers name the request
+    that they belong to, empty where they do not.
+    """
+
+    def __init__(self, address: str, echo: bytes = b"") -> None:
+        self.address = address
+        self._echo = echo
+        self._idle: list[ClientConnection] = []
+
+    async def request(
+        self,
+        data: bytes,
+        request_id: bytes = b"",
+        idle_most_s: float = IDLE_MOST_S,
+        head: bool = False,
+    ) -> Response:
+        """Send a request and return its whole answer.
+
+        A connection that was idle for over ``idle_most_s`` is not used. Raises
+        TargetUnreachedError when nothing can have been sent, TargetLostError when
+        something may have and no whole answer came. When cancelled, the connection
+        is closed, so that the target can stop.
+        """
+        conn = self._take(idle_most_s) or await self._open()
+        fut = conn.send(data, request_id, head)
+        try:
+            response = await fut
+        except BaseException:
+            conn.abort()
+            raise
+        if conn.reusable and conn.open:
+            self._idle.append(conn)
+        else:
+            conn.close()
+        return response
+
+    def _take(self, idle_most_s: float) -> ClientConnection | None:
+        now = time.monotonic()
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.open and now - conn.used_at <= min(idle_most_s, conn.idle_s):
+                return conn
+            conn.close()
+        return None
+
+    async def _open(self) -> ClientConnection:
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        conn = ClientConnection(self._echo)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: conn, host, int(port))
+        except (OSError, TimeoutError) as exc:
+            raise TargetUnreachedError(self.address) from exc
+        return conn
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        now = time.monotonic()
+        stale = [c for c in self._idle if not c.open or now - c.used_at > c.idle_s]
+        for conn in stale:
+            self._idle.remove(conn)
+            conn.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
--- a/beryldrum/mesh/conventions.py
+++ b/beryldrum/mesh/conventions.py
@@ -9,8 +9,9 @@
 from enum import Enum
 from typing import NamedTuple
 
+from .client import Response
 from .document import FleetDocument
-from .http import Header, Incoming, Response
+from .http import Header, Incoming
 from .target import Announcement
 
 __all__ = ["Asked", "Conventions", "Handover", "Judgement", "Leaving", "Statement"]
--- a/beryldrum/mesh/settings.py
+++ b/beryldrum/mesh/settings.py
@@ -1,16 +1,13 @@
 """The settings of a mesh node, read from YAML and checked.
 
 :func:`parse` raises :class:`~beryldrum.errors.SettingsError` with every fault, its
-line, its field and what was expected. Fields that it does not know are left to
-later versions.
+line, its field and what was expected.
 """
 
-from pathlib import Path
 from typing import NamedTuple
 
-from ..errors import SettingsError
-from ..settings import is_address
-from ..yamlfile import Faults, Section, load
+from ..settings import checked, is_address, text_of
+from ..yamlfile import Section
 
 __all__ = ["MeshSettings", "parse", "read"]
 
@@ -74,18 +71,9 @@
 
 def parse(text: str, name: str = "settings") -> MeshSettings:
     """Return the checked settings in ``text``; raises SettingsError."""
-    faults = Faults(name)
-    cfg = load(text, faults, _build)
-    if faults.all():
-        raise SettingsError(faults.all())
-    assert isinstance(cfg, MeshSettings)
-    return cfg
+    return checked(text, name, _build)
 
 
 def read(path: str) -> MeshSettings:
     """Return the checked settings in the file at ``path``; raises SettingsError."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsError((f"{path}:1: file: cannot be read: {exc}",)) from exc
-    return parse(text, path)
+    return parse(text_of(path), path)
--- a/beryldrum/mesh/target_side.py
+++ b/beryldrum/mesh/target_side.py
@@ -12,11 +12,11 @@
 from ..clock import Clock
 from ..errors import TargetLostError, TargetUnreachedError
 from ..request import Outcome, Reason
+from .client import Pool
 from .conventions import Conventions, Handover, Judgement
 from .explain import Explainer
 from .frames import Load, Reply, Run
 from .gate import Admission, Gate, Want
-from .http import Pool
 from .target import READY, Announced, Announcement
 from .work import answered, not_run, reason_of, unknown
 
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -3,9 +3,10 @@
 import msgspec
 
 from ..errors import DocumentError
+from ..mesh.client import Response
 from ..mesh.conventions import Asked, Conventions, Handover, Judgement, Leaving, Statement
 from ..mesh.document import FleetDocument
-from ..mesh.http import Header, Incoming, Response
+from ..mesh.http import Header, Incoming
 from ..mesh.target import DRAINING, READY, Announcement
 from . import documents
 
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -14,8 +14,8 @@
     TargetLostError,
     TargetUnreachedError,
 )
+from ..mesh.client import Pool, Response
 from ..mesh.frames import Member
-from ..mesh.http import Pool, Response
 from ..mesh.store import Store, Watch
 
 __all__ = ["PlatformStore"]
--- a/beryldrum/settings.py
+++ b/beryldrum/settings.py
@@ -5,13 +5,16 @@
 """
 
 import ipaddress
+from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar, cast
 
 from .errors import SettingsError
 from .yamlfile import Faults, Section, load
 
-__all__ = ["Settings", "Tls", "parse", "read"]
+__all__ = ["Settings", "Tls", "checked", "is_address", "parse", "read", "text_of"]
+
+T = TypeVar("T")
 
 
 class Tls(NamedTuple):
@@ -112,20 +115,28 @@
     return cfg
 
 
-def parse(text: str, name: str = "settings") -> Settings:
-    """Return the checked settings in ``text``; raises SettingsError."""
+def checked(text: str, name: str, build: Callable[[Section], T]) -> T:
+    """Return what ``build`` makes of the settings in ``text``; raises SettingsError."""
     faults = Faults(name)
-    cfg = load(text, faults, _build)
+    cfg = load(text, faults, build)
     if faults.all():
         raise SettingsError(faults.all())
-    assert isinstance(cfg, Settings)
-    return cfg
+    return cast(T, cfg)
 
 
-def read(path: str) -> Settings:
-    """Return the checked settings in the file at ``path``; raises SettingsError."""
+def text_of(path: str) -> str:
+    """Return the text of a settings file; raises SettingsError."""
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        return Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         raise SettingsError((f"{path}:1: file: cannot be read: {exc}",)) from exc
-    return parse(text, path)
+
+
+def parse(text: str, name: str = "settings") -> Settings:
+    """Return the checked settings in ``text``; raises SettingsError."""
+    return checked(text, name, _build)
+
+
+def read(path: str) -> Settings:
+    """Return the checked settings in the file at ``path``; raises SettingsError."""
+    return parse(text_of(path), path)
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -256,7 +256,7 @@
     ),
     Mutant(
         "mesh: an answer to another request is passed over",
-        "mesh/http.py",
+        "mesh/client.py",
         "                return value == self._request_id\n",
         "                return True\n",
         REQUESTS + "test_target_01_an_answer_to_another_request_comes_first",
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -8,7 +8,7 @@
 import structlog
 from aiohttp import web
 
-from beryldrum.mesh.http import Pool
+from beryldrum.mesh.client import Pool
 from beryldrum.mesh.node import MeshNode
 from beryldrum.mesh.settings import MeshSettings
 from beryldrum.platform.conventions import PlatformConventions
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -5,7 +5,7 @@
 
 from parameterized import parameterized
 
-from beryldrum.mesh.http import Pool
+from beryldrum.mesh.client import Pool
 
 from .mesh_fleet import HOST, KEY, Fleet, config, route, until
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,8 +10,9 @@
 
 from beryldrum.errors import DocumentError, FrameError
 from beryldrum.mesh import frames
+from beryldrum.mesh.client import Response
 from beryldrum.mesh.conventions import Judgement, Leaving
-from beryldrum.mesh.http import Incoming, Response
+from beryldrum.mesh.http import Incoming
 from beryldrum.mesh.target import DRAINING, Announced, Announcement
 from beryldrum.platform.conventions import PlatformConventions
 from beryldrum.platform.documents import decode
