Stop test with room for all its requests

Trace: two gates with three runs each were full with the six runs under way, and at full the entry refuses; that has nothing to do with the stop and is allowed. The targets now have 100 slots and every request still has to be answered 200; the stop, the late requests and the slow runs stay.

--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -87,9 +87,9 @@
         self.node = MeshNode(self.cfg, PlatformConventions(), self.store, structlog.get_logger())
         await self.node.start()
 
-    async def announce(self, sequence=1, state="ready", born=1, **changes):
+    async def announce(self, sequence=1, state="ready", born=1, slots=4, **changes):
         """Send a heartbeat of the target; returns the status of the answer."""
-        information = {"service": self.cfg.service, "zone": self.cfg.data_centre, "slots": 4}
+        information = {"service": self.cfg.service, "zone": self.cfg.data_centre, "slots": slots}
         beat = {
             "address": self.cfg.target,
             "information": information,
@@ -151,13 +151,13 @@
             self.hosts.append(host)
         return self
 
-    async def serve(self, text=None):
+    async def serve(self, text=None, slots=4):
         """Publish a configuration and announce all targets; returns the hosts."""
         self.store.publish(text or config())
         born = time.time_ns() // 1_000_000
         for host in self.hosts:
             await until(lambda host=host: host.node.news.document is not None)
-            await host.announce(born=born)
+            await host.announce(born=born, slots=slots)
         others = len(self.hosts) - 1
         for host in self.hosts:
             peers = host.node.directory.peers
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -145,7 +145,8 @@
 
     async def test_nothing_is_lost_when_a_node_stops(self):
         async with Fleet("shop", "shop", stop_s=4.0) as fleet:
-            one, two = await fleet.serve()
+            # Room for all, so that a refusal could only come of the stop.
+            one, two = await fleet.serve(slots=100)
             for host in (one, two):
                 host.target.script.extend(["slow"] * 40)
             asking = [asyncio.create_task(host.ask()) for host in (one, two) for _ in range(3)]
