Metrics of rates, by organisation

Each node now serves what it granted and refused of a rate, what of it its part did not cover, its part, and the level of the bucket that it believes in.

The gauges that nothing set are gone.

--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -1,10 +1,12 @@
 """Counters and latency histograms of a mesh node, served as text."""
 
 from collections import Counter
+from collections.abc import Callable
 
 from hdrh.histogram import HdrHistogram
 
 from .http import HttpService, Incoming, Outgoing
+from .quota import RateState
 
 __all__ = ["MeshMetrics"]
 
@@ -15,13 +17,25 @@
 MOST_STEPS = HIGHEST_US // STEP_US - 1
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
+RATE_KINDS = {
+    "granted": "granted_total",
+    "refused": "refused_total",
+    "beyond_part": "beyond_part_total",
+    "part": "part",
+    "level": "level",
+}
+"""The names of the metrics of a rate, by the fields of its state."""
+
 
 class MeshMetrics(HttpService):
-    """The metrics of a node, in the Prometheus text format."""
+    """The metrics of a node, in the Prometheus text format.
+
+    ``rates`` returns how the rates of organisations stand.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, rates: Callable[[], list[RateState]] = list) -> None:
         self.requests: Counter[str] = Counter()
-        self.gauges: dict[str, float] = {}
+        self._rates = rates
         self._steps: Counter[int] = Counter()
         self._seconds = HdrHistogram(1, HIGHEST_US, DIGITS)
 
@@ -44,10 +58,20 @@
             seconds = self._seconds.get_value_at_percentile(quantile) / 1e6
             lines.append(f'beryldrum_answer_seconds{{quantile="{quantile / 100:g}"}} {seconds:g}')
         lines.append(f"beryldrum_answer_seconds_count {self._seconds.get_total_count()}")
-        for name, value in sorted(self.gauges.items()):
-            lines.append(f"# TYPE beryldrum_{name} gauge")
-            lines.append(f"beryldrum_{name} {value:g}")
+        lines += self._rate_lines()
         return "\n".join(lines) + "\n"
 
+    def _rate_lines(self) -> list[str]:
+        lines = []
+        states = self._rates()
+        for field, name in RATE_KINDS.items():
+            kind = "counter" if name.endswith("_total") else "gauge"
+            lines.append(f"# TYPE beryldrum_rate_{name} {kind}")
+            for state in states:
+                value = round(getattr(state, field), 4)
+                label = f'organisation="{state.organisation}"'
+                lines.append(f"beryldrum_rate_{name}{{{label}}} {value}")
+        return lines
+
     async def answer(self, incoming: Incoming) -> Outgoing:
         return Outgoing(200, b"Content-Type: text/plain; version=0.0.4\r\n", self.text().encode())
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -163,11 +163,11 @@
         address = cfg.advertised or cfg.nodes
         self.member = Member(address, cfg.data_centre, self.clock.wall_ms())
         self.explainer = Explainer(logger, self.clock, emit)
-        self.metrics = MeshMetrics()
         self.news = FleetNews(self.clock)
         self.directory = Directory(self.clock, self.member)
         tolerance = Tolerance(cfg.rate_tolerance, cfg.rate_tolerance_requests)
         self.quotas = Quotas(self.clock, self._rng, tolerance)
+        self.metrics = MeshMetrics(self.quotas.states)
         self.graph = CallGraph(self.clock)
         answers = BodyMemory(int(cfg.memory_mb * 2**20 * ANSWER_SHARE))
         self.target = TargetSide(self.clock, conventions, self.explainer, self.graph.ran, answers)
--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -21,7 +21,7 @@
 from ..clock import Clock
 from .document import Organisation
 
-__all__ = ["Quotas", "Report", "Tolerance", "Use"]
+__all__ = ["Quotas", "RateState", "Report", "Tolerance", "Use"]
 
 DEMAND_S = 1.0
 """Time over which demand is averaged."""
@@ -71,6 +71,22 @@
     requests: float
 
 
+class RateState(NamedTuple):
+    """How an organisation's rate stands at a node, for operators.
+
+    ``granted`` and ``refused`` count requests since the start, ``beyond_part`` those of
+    the granted that the part did not cover. ``part`` is the share of the bucket that is
+    given out here, ``level`` what the bucket is believed to hold.
+    """
+
+    organisation: str
+    granted: int
+    refused: int
+    beyond_part: int
+    part: float
+    level: float
+
+
 class Report(NamedTuple):
     """What was last heard of a node, and how often it has been heard."""
 
@@ -149,6 +165,12 @@
         self.levels: list[float] = []
         self.companions = 0
         """What companions have admitted since they were met."""
+        self.refused = 0
+        self.beyond_part = 0
+        self.part = 0.0
+        """The share of the bucket that was given out here in the last tick."""
+        self.part_budget = 0.0
+        """What that share came to; ``budget`` is that or more."""
 
     def hear(self, node: str, admitted: int | None, demand: float) -> None:
         """Take up what a node says of its use, in place of what was assumed.
@@ -252,9 +274,11 @@
         left = bucket.budget - bucket.spent
         if left < 1.0 and self._rng.random() >= left / max(left, bucket.expected, LEAST_DEMAND):
             # A part of a request, for as many as will ask for it in this tick.
+            bucket.refused += 1
             return False
         bucket.spent += 1
         bucket.admitted += 1
+        bucket.beyond_part += bucket.spent >= bucket.part_budget + 1.0
         return True
 
     def give_back(self, organisation: str) -> None:
@@ -272,6 +296,14 @@
         short = max(1.0, 1.0 - bucket.level)
         return short / max(1.0, self._organisations[organisation].rate_per_s)
 
+    def states(self) -> list[RateState]:
+        """Return how the rates stand of the organisations that have asked here."""
+        return [
+            RateState(name, b.admitted, b.refused, b.beyond_part, b.part, b.level)
+            for name, b in self._buckets.items()
+            if b.admitted or b.refused
+        ]
+
     def all_uses(self) -> dict[str, Use]:
         """Return this node's use of each organisation that it has admitted any of."""
         return {
@@ -437,6 +469,7 @@
         # What is there is given out over the time until its use is known everywhere.
         stock = b.level * min(1.0, elapsed / self.news_s)
         budget = max(0.0, part * (stock + org.rate_per_s * elapsed))
+        b.part, b.part_budget = part * self.share, budget * self.share
         b.expected = b.told[0] * elapsed
         if not away and b.level >= 1.0 + total * self.news_s:
             # Far from the limit nobody is refused for coming a little unevenly.
--- a/tests/test_mesh_operators.py
+++ b/tests/test_mesh_operators.py
@@ -4,6 +4,7 @@
 import io
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -17,9 +18,11 @@
 from beryldrum import cli
 from beryldrum.clock import ManualClock
 from beryldrum.errors import SettingsError
+from beryldrum.mesh.document import Organisation
 from beryldrum.mesh.explain import FAILURES_PER_S, Explainer
 from beryldrum.mesh.lines import LineWriter
 from beryldrum.mesh.metrics import MeshMetrics
+from beryldrum.mesh.quota import Quotas
 from beryldrum.mesh.settings import parse
 
 SETTINGS = """\
@@ -103,6 +106,24 @@
         self.assertIn('beryldrum_requests_total{outcome="overloaded"} 1', text)
         self.assertIn('beryldrum_answer_seconds{quantile="0.99"} 0.02', text)
 
+    def test_rates(self):
+        clock = ManualClock()
+        quotas = Quotas(clock, random.Random(1))
+        quotas.load({name: Organisation(name, None, 8.0, 8.0) for name in ("mart", "idle")})
+        clock.advance(0.5)
+        quotas.tick([])
+        granted = sum(quotas.take("mart") for _ in range(20))
+        text = MeshMetrics(quotas.states).text()
+        for line_of in (
+            f'granted_total{{organisation="mart"}} {granted}',
+            f'refused_total{{organisation="mart"}} {20 - granted}',
+            'beyond_part_total{organisation="mart"} 0',
+            'part{organisation="mart"} 1.0',
+            'level{organisation="mart"} 4.0',
+        ):
+            self.assertIn(f"beryldrum_rate_{line_of}\n", text)
+        self.assertNotIn("idle", text)
+
 
 class StoryTest(TestCase):
     """``beryldrum explain`` over the logs of several hosts."""
