--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -57,7 +57,7 @@
 from .target_side import TargetSide
 from .work import unknown
 
-__all__ = ["MeshNode", "serve"]
+__all__ = ["MeshNode", "news_s", "serve"]
 
 TICK_S = 0.25
 """Period of the housekeeping: shares, limits, sweeps."""
@@ -124,6 +124,12 @@
     return 0.0
 
 
+def news_s(turns: int, large: bool) -> float:
+    """Return the age of the news of rates, where each node is asked once in ``turns`` rounds."""
+    summaries_s = SUMMARY_S + STATE_LIFE_S if large else 0.0
+    return HEARTBEAT_S * turns + TICK_S + summaries_s
+
+
 class _Ready(HttpService):
     def __init__(self, ready: Callable[[], bool]) -> None:
         self._ready = ready
@@ -497,8 +503,7 @@
                 elif not self._wanted(peer, link):
                     link.abort()
             turns = 1 + len(near) // PEERS_A_ROUND
-            summaries_s = SUMMARY_S + STATE_LIFE_S if self.directory.large else 0.0
-            self.quotas.news_s = HEARTBEAT_S * turns + TICK_S + summaries_s
+            self.quotas.news_s = news_s(turns, self.directory.large)
             turn = (turn + 1) % turns
             self._heartbeat(near[turn::turns])
             self._heartbeat(far, brief=True)
