Rates: parts and allowances of all nodes together stay within the bucket

Cause: what a node may admit before its use is known elsewhere was worked out from views of different age. It divided the bucket by its own demand of a quarter second ago and the others' of up to 0.9 s ago (1.7 s in a large fleet), so that while demand rose the parts summed to more than one; and each might admit an allowance for clumps beyond its part, which grew with the number of nodes and not with what there was room for. The parts now go by the own demand at the time of the oldest news, and all allowances together are bounded by the room and a stated part of the tolerance.

--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -47,8 +47,10 @@
 """Standard deviations above what is expected that a node far from the limit may admit."""
 
 CLUMPS = 2.0
-"""How many times that it may admit where requests come in clumps and there is room; at
-the same time, the multiple of its even part of the room: not all have clumps at once."""
+"""How many times that it may admit where requests come in clumps and there is room."""
+
+TOLERANCE_AT_ONCE = 0.75
+"""Part of the tolerance's requests that all nodes together may use beyond the room."""
 
 
 class Use(NamedTuple):
@@ -142,8 +144,8 @@
         self.level = 0.0
         self.adopted = False
         self.demand = 0.0
-        self.told = [0.0, 0.0]
-        """The demand of the last two ticks: what the others know of."""
+        self.demands = [0.0]
+        """The demand of the last ticks, as far back as the oldest news of others."""
         self.asked = 0
         self.admitted = 0
         self.told_admitted = 0
@@ -186,10 +188,17 @@
         other.demand = demand
         self.others_demand += demand
 
+    def own_demand(self) -> float:
+        """Return the own demand as it was when the oldest news of others were made.
+
+        Parts sum to more than one where a node divides by a demand that has risen
+        since the others heard of it.
+        """
+        return max(self.demands[0], LEAST_DEMAND)
+
     def total(self) -> float:
         """Return the demand that the bucket is divided by; every node counts for a little."""
-        own = max(self.told[0], LEAST_DEMAND)
-        return own + self.others_demand + LEAST_DEMAND * len(self.others)
+        return self.own_demand() + self.others_demand + LEAST_DEMAND * len(self.others)
 
     def drop(self, node: str) -> None:
         """Forget a node; what was assumed of it stays used."""
@@ -420,7 +429,7 @@
     def _tick(self, b: _Bucket, org: Organisation, silent: list[str], elapsed: float) -> None:
         b.demand += min(1.0, elapsed / DEMAND_S) * (b.asked / elapsed - b.demand)
         b.asked = 0
-        b.told = [b.told[1], b.demand]
+        b.demands = [*b.demands, b.demand][-2 - math.ceil(self.news_s / elapsed) :]
         used = b.admitted - b.seen + b.used
         b.seen, b.used = b.admitted, 0.0
         # What the others use until they are heard again.
@@ -449,9 +458,7 @@
         b.budget = self._budget(b, org, away, elapsed) * self.share
 
     def _budget(self, b: _Bucket, org: Organisation, away: list[_Other], elapsed: float) -> float:
-        # The parts sum up to one only if all nodes go by the same demand, so the
-        # own one is taken as old as the others are known.
-        own = max(b.told[0], LEAST_DEMAND)
+        own = b.own_demand()
         if away:
             # Whoever is silent may get as many requests by now as those who are heard.
             heard = b.others_demand - sum(other.demand for other in away)
@@ -470,13 +477,14 @@
         stock = b.level * min(1.0, elapsed / self.news_s)
         budget = max(0.0, part * (stock + org.rate_per_s * elapsed))
         b.part, b.part_budget = part * self.share, budget * self.share
-        b.expected = b.told[0] * elapsed
-        if not away and b.level >= 1.0 + total * self.news_s:
-            # Far from the limit nobody is refused for coming a little unevenly.
-            usual = b.told[0] * self.news_s
-            uneven = 1.0 + SPREAD * math.sqrt(usual)
-            eased = self._tolerance.requests * TOLERANCE_USED
-            room = CLUMPS * (b.level - total * self.news_s + eased) / nodes
-            most = usual + min(max(uneven, room), CLUMPS * uneven)
-            return max(budget, most - sum(b.lately))
+        b.expected = b.demand * elapsed
+        room = b.level - max(0.0, total - org.rate_per_s) * self.news_s
+        if not away and room >= 1.0:
+            # Far from the limit nobody is refused for coming a little unevenly. Demand
+            # may rise at all nodes at once, so together they get what there is room for.
+            usual = b.demand * self.news_s
+            uneven = usual + CLUMPS * (1.0 + SPREAD * math.sqrt(usual))
+            room += self._tolerance.requests * TOLERANCE_AT_ONCE
+            most = own * self.news_s + room / nodes
+            return max(budget, min(uneven, most) - sum(b.lately))
         return budget
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -36,6 +36,7 @@
 MESH = "tests/test_mesh_overload.py::"
 SCALE = "tests/test_mesh_scale.py::"
 QUOTA = "tests/test_mesh_quota.py::QuotaTest"
+SURGE = "tests/test_mesh_surge.py::SurgeTest::test_surge_2_a_large_organisation"
 ADAPTER = "tests/test_platform_adapter.py::"
 MUTANTS = (
     Mutant(
@@ -325,6 +326,20 @@
         "                if False:\n",
         QUOTA,
     ),
+    Mutant(
+        "mesh: a node divides by its demand as the others know it",
+        "mesh/quota.py",
+        "        return max(self.demands[0], LEAST_DEMAND)\n",
+        "        return max(self.demands[-1], LEAST_DEMAND)\n",
+        SURGE,
+    ),
+    Mutant(
+        "mesh: all nodes together are given what there is room for",
+        "mesh/quota.py",
+        "            return max(budget, min(uneven, most) - sum(b.lately))\n",
+        "            return max(budget, uneven - sum(b.lately))\n",
+        SURGE,
+    ),
     Mutant(
         "mesh: whole requests are refused at the entry",
         "mesh/admission.py",
