Rates: part of a request is not given to all while demand jumps

Cause: a node whose part of a tick is less than a request gives it with a chance of that part over the requests that it expects. While demand jumped it expected those of before, so nearly every node gave a whole request in every tick.

The requests of a tick in which demand has jumped are expected in the next one too.

--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -49,6 +49,9 @@
 CLUMPS = 2.0
 """How many times that it may admit where requests come in clumps and there is room."""
 
+JUMP = 1.5
+"""Requests in a tick, and multiple of what is usual, above which demand has jumped."""
+
 TOLERANCE_AT_ONCE = 0.75
 """Part of the tolerance's requests that all nodes together may use beyond the room."""
 
@@ -427,7 +430,10 @@
                 bucket.levels.append(use.level if use else self._organisations[name].burst)
 
     def _tick(self, b: _Bucket, org: Organisation, silent: list[str], elapsed: float) -> None:
+        jumped = b.asked > JUMP + JUMP * b.demand * elapsed
         b.demand += min(1.0, elapsed / DEMAND_S) * (b.asked / elapsed - b.demand)
+        # A part of a request goes to the first who asks, unless more than usual do.
+        b.expected = float(b.asked) if jumped else min(b.demands) * elapsed
         b.asked = 0
         b.demands = [*b.demands, b.demand][-2 - math.ceil(self.news_s / elapsed) :]
         used = b.admitted - b.seen + b.used
@@ -477,7 +483,6 @@
         stock = b.level * min(1.0, elapsed / self.news_s)
         budget = max(0.0, part * (stock + org.rate_per_s * elapsed))
         b.part, b.part_budget = part * self.share, budget * self.share
-        b.expected = b.demand * elapsed
         room = b.level - max(0.0, total - org.rate_per_s) * self.news_s
         if not away and room >= 1.0:
             # Far from the limit nobody is refused for coming a little unevenly. Demand
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -340,6 +340,13 @@
         "            return max(budget, uneven - sum(b.lately))\n",
         SURGE,
     ),
+    Mutant(
+        "mesh: parts of a request are given by the demand that has just risen",
+        "mesh/quota.py",
+        "        jumped = b.asked > JUMP + JUMP * b.demand * elapsed\n",
+        "        jumped = False\n",
+        "tests/test_mesh_surge.py::SurgeTest::test_surge_0_a_small_fleet",
+    ),
     Mutant(
         "mesh: whole requests are refused at the entry",
         "mesh/admission.py",
--- a/tests/test_mesh_surge.py
+++ b/tests/test_mesh_surge.py
@@ -48,6 +48,7 @@
     Surge("ten data centres", 40, 10, (40.0, 40.0), 0.9, 20.0),
     Surge("five data centres within the rate", 40, 5, (20.0, 20.0), 0.6, 0.8, 0.02),
     Surge("a small fleet within the rate", 14, 3, (20.0, 20.0), 0.6, 0.8, 0.02),
+    Surge("a few a second at many nodes", 23, 4, (6.0, 6.0), 0.9, 20.0),
 )
 
 
