Rates read again: names, reasons, a safe default for the first start

Nothing changes for a node but the order of metrics' labels: organisations are escaped in them. The simulation of rates tells the first start from restarts, as the product does.

--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 from .http import HttpService, Incoming, Outgoing
@@ -69,8 +70,8 @@
             lines.append(f"# TYPE beryldrum_rate_{name} {kind}")
             for state in states:
                 value = round(getattr(state, field), 4)
-                label = f'organisation="{state.organisation}"'
-                lines.append(f"beryldrum_rate_{name}{{{label}}} {value}")
+                organisation = msgspec.json.encode(state.organisation).decode()
+                lines.append(f"beryldrum_rate_{name}{{organisation={organisation}}} {value}")
         return lines
 
     async def answer(self, incoming: Incoming) -> Outgoing:
--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -4,8 +4,9 @@
 or at all. Every node keeps one bucket for the whole fleet and takes out of it what
 each node says it has admitted. Between two looks at it a node may admit the part
 of the bucket that its part of the demand is, so that all together admit no more
-than is there. What a silent node may admit counts as admitted: it may be cut off
-and still be serving.
+than is there. Demand may rise at all of them before any hears of it, so a node goes by
+its own demand as old as the others know it. What a silent node may admit counts as
+admitted: it may be cut off and still be serving.
 
 In a large fleet a node's part of a small rate is less than a request. There the
 bucket is divided between data centres, and one node of each gives out its part
@@ -40,8 +41,8 @@
 """Times of that for which a use is stated after its last change."""
 
 TOLERANCE_USED = 0.25
-"""Part of the tolerance that is given out, so that what nodes cannot give out exactly is
-refused to nobody within the rate; the rest is for nodes that are cut off."""
+"""Part of the tolerance that the rate and the burst are raised by, so that what nodes
+cannot give out exactly is refused to nobody within the rate."""
 
 SPREAD = 2.0
 """Standard deviations above what is expected that a node far from the limit may admit."""
@@ -50,10 +51,12 @@
 """How many times that it may admit where requests come in clumps and there is room."""
 
 JUMP = 1.5
-"""Requests in a tick, and multiple of what is usual, above which demand has jumped."""
+"""Demand has jumped where a tick brings more than so many requests, and so many times
+the usual ones besides."""
 
 TOLERANCE_AT_ONCE = 0.75
-"""Part of the tolerance's requests that all nodes together may use beyond the room."""
+"""Part of the tolerance's requests that all nodes together may use beyond what there is
+room for, while none of them may be cut off."""
 
 
 class Use(NamedTuple):
@@ -252,7 +255,7 @@
         clock: Clock,
         rng: random.Random,
         tolerance: Tolerance | None = None,
-        first_start: bool = True,
+        first_start: bool = False,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -304,7 +307,7 @@
             return False
         bucket.spent += 1
         bucket.admitted += 1
-        bucket.beyond_part += bucket.spent >= bucket.part_budget + 1.0
+        bucket.beyond_part += bucket.spent - 1 >= bucket.part_budget
         return True
 
     def give_back(self, organisation: str) -> None:
@@ -501,8 +504,8 @@
         if not away and room >= 1.0:
             # Far from the limit nobody is refused for coming a little unevenly. Demand
             # may rise at all nodes at once, so together they get what there is room for.
-            usual = b.demand * self.news_s
-            uneven = usual + CLUMPS * (1.0 + SPREAD * math.sqrt(usual))
+            coming = b.demand * self.news_s
+            uneven = coming + CLUMPS * (1.0 + SPREAD * math.sqrt(coming))
             room += self._tolerance.requests * TOLERANCE_AT_ONCE
             most = own * self.news_s + room / nodes
             return max(budget, min(uneven, most) - sum(b.lately))
--- a/tests/test_mesh_quota.py
+++ b/tests/test_mesh_quota.py
@@ -97,15 +97,15 @@
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.orgs = {"mart": Organisation("mart", None, case.rate, case.burst)}
-        self.quotas = [self._quota() for _ in range(case.nodes)]
+        self.quotas = [self._quota(first_start=True) for _ in range(case.nodes)]
         self.incarnations = [1] * case.nodes
         self.reports = [{} for _ in range(case.nodes)]
         self.admitted = deque()
         self.asked = self.refused = 0
         self.worst = 0.0
 
-    def _quota(self):
-        quotas = Quotas(self.clock, self.rng, self.tolerance)
+    def _quota(self, first_start=False):
+        quotas = Quotas(self.clock, self.rng, self.tolerance, first_start)
         quotas.load(self.orgs)
         quotas.news_s = max(quotas.news_s, (self.case.news_steps + TICK_STEPS) * STEP_S)
         return quotas
