--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -452,7 +452,8 @@
         # A part of a request goes to the first who asks, unless more than usual do.
         b.expected = float(b.asked) if jumped else min(b.demands) * elapsed
         b.asked = 0
-        b.demands = [*b.demands, b.demand][-2 - math.ceil(self.news_s / elapsed) :]
+        b.demands.append(b.demand)
+        del b.demands[: -2 - math.ceil(self.news_s / elapsed)]
         used = b.admitted - b.seen + b.used
         b.seen, b.used = b.admitted, 0.0
         # What the others use until they are heard again.
@@ -476,7 +477,8 @@
         most = max(org.burst, b.level)
         b.level = min(most, b.level + org.rate_per_s * elapsed - used)
         ticks = max(1, round(self.news_s / elapsed) - 1)
-        b.lately = [*b.lately, b.spent][-ticks:]
+        b.lately.append(b.spent)
+        del b.lately[:-ticks]
         b.spent = 0
         b.budget = self._budget(b, org, away, elapsed) * self.share
 
