Rates: a bucket that nobody knows of begins with what is earned during a start

A process needs half a second at least to end and start again, in which it used nothing, so that much of the rate may be given out.

--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -50,6 +50,9 @@
 CLUMPS = 2.0
 """How many times that it may admit where requests come in clumps and there is room."""
 
+START_S = 0.5
+"""Time that a process needs to end and start again, for which its rate was not used."""
+
 JUMP = 1.5
 """Demand has jumped where a tick brings more than so many requests, and so many times
 the usual ones besides."""
@@ -149,7 +152,7 @@
     def __init__(self, unused: bool) -> None:
         self.unused = unused
         """Whether nothing can have been used before, so that it begins full; else it
-        begins empty, unless others know more."""
+        begins nearly empty, unless others know more."""
         self.level = 0.0
         self.adopted = False
         self.demand = 0.0
@@ -281,7 +284,11 @@
         for name in organisations:
             if name not in self._buckets:
                 # An organisation that a later document adds is new to the fleet.
-                self._buckets[name] = _Bucket(self._first_start or self._loads > 0)
+                unused = self._first_start or self._loads > 0
+                bucket = self._buckets[name] = _Bucket(unused)
+                if not unused:
+                    org = self._organisations[name]
+                    bucket.level = min(org.burst, org.rate_per_s * START_S)
         self._loads += 1
 
     def _eased(self, org: Organisation) -> Organisation:
