Gate: count what is handed over by kind, and show the limit that a target states

Change: WireAdapter.target_notice reads Server-Limit and Server-Leaving; the gate logs a change and serves the limit and the hand-overs by kind as metrics. Nothing decides by it yet.

--- a/beryldrum/mesh/conventions.py
+++ b/beryldrum/mesh/conventions.py
@@ -20,6 +20,7 @@
     "RequestMetadata",
     "ResponseKind",
     "TargetMessage",
+    "TargetNotice",
     "WireAdapter",
 ]
 
@@ -59,6 +60,17 @@
     """A success without the target's signature, which something else may have sent."""
 
 
+class TargetNotice(NamedTuple):
+    """What an answer of a target states about the target itself.
+
+    ``rate_limit`` is the number of requests per second that it takes from all hosts
+    together, or None if it states none. ``leaving`` tells that it is shutting down.
+    """
+
+    rate_limit: float | None
+    leaving: bool
+
+
 class Deregistration(NamedTuple):
     """A target's message that it is shutting down for good."""
 
@@ -106,6 +118,13 @@
     def classify(self, response: Response) -> ResponseKind:
         """Return the kind of a target's answer."""
 
+    @abstractmethod
+    def target_notice(self, response: Response) -> TargetNotice | None:
+        """Return what an answer states about its target, or None if it is malformed.
+
+        It is also None for an answer that may be from something other than the target.
+        """
+
     @abstractmethod
     def response_headers(self, response: Response) -> bytes:
         """Return the header lines of a target's answer to send to the caller."""
--- a/beryldrum/mesh/gate.py
+++ b/beryldrum/mesh/gate.py
@@ -18,7 +18,7 @@
 from .load_estimator import LoadEstimator
 from .queue import SlackQueue
 
-__all__ = ["CALL_PRIORITY", "Admission", "Gate", "RunRequest", "call_priority"]
+__all__ = ["CALL_PRIORITY", "Admission", "Gate", "RunRequest", "call_priority", "is_call"]
 
 CALL_PRIORITY = 0
 """Priority of a call by a target whose run is not known. Calls are not refused for
@@ -55,6 +55,11 @@
     )
 
 
+def is_call(priority: int) -> bool:
+    """Tell whether a priority is that of a call by a target."""
+    return priority < request.COHORTS
+
+
 class Admission(Enum):
     """What happens to a request that is not refused."""
 
@@ -123,7 +128,7 @@
     @staticmethod
     def _answer_by(req: RunRequest) -> float:
         # A late answer to a call is still of use to the run that waits for it.
-        return req.deadline if req.priority < request.COHORTS else req.due
+        return req.deadline if is_call(req.priority) else req.due
 
     def _start(self) -> None:
         self.in_flight += 1
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Callable
 
 from .. import request
@@ -14,11 +15,11 @@
 from ..errors import AnswerLostError, TargetUnreachedError
 from ..request import Outcome, Reason
 from .client import Pool
-from .conventions import Handover, ResponseKind, WireAdapter
+from .conventions import Handover, ResponseKind, TargetNotice, WireAdapter
 from .exchange import answered, not_run, unknown
 from .explain import Explainer
 from .frames import Load, Reply, Run
-from .gate import Admission, Gate, RunRequest
+from .gate import Admission, Gate, RunRequest, is_call
 from .http import MemoryBudget
 from .target import READY, Announcement, AnnouncementTracker
 
@@ -65,6 +66,10 @@
         self._target: Announcement | None = None
         self.running: dict[str, Run] = {}
         """Runs that the target is working on, by request id."""
+        self.handed: Counter[str] = Counter()
+        """Requests handed over since the start: ``first`` attempts, ``retry`` and ``call``."""
+        self.rate_limit: float | None = None
+        """The limit that the target states, in requests per second, if it states one."""
         self._tasks: set[asyncio.Task[Reply]] = set()
 
     # State of the target.
@@ -90,6 +95,7 @@
         self._refuse_waiting(request.NO_TARGET)
         if self._pool is not None:
             self._pool.close()
+        self.rate_limit = None
         self._pool = Pool(announcement.address, self._adapter.request_id_header, self._memory)
         self._gate = Gate(self._clock, announcement.slots)
 
@@ -211,6 +217,8 @@
     async def _hand_over(self, gate: Gate[Waiter], run: Run, deadline: float) -> Reply:
         started = self._clock.now()
         self._on_run(run.route)
+        kind = "call" if is_call(run.priority) else "retry" if run.is_retry else "first"
+        self.handed[kind] += 1
         self.running[run.request_id] = run
         ok = False
         try:
@@ -248,6 +256,9 @@
             return unknown(request.ANSWER_LOST)
         except TimeoutError:
             return unknown(request.TIMED_OUT)
+        notice = self._adapter.target_notice(response)
+        if notice is not None:
+            self._apply_notice(notice)
         kind = self._adapter.classify(response)
         if kind is ResponseKind.NOT_RUN:
             return not_run(request.SHED, MIN_RETRY_AFTER_MS, handed=True)
@@ -255,6 +266,17 @@
             return unknown(request.ANSWER_LOST)
         return answered(response.status, self._adapter.response_headers(response), response.body)
 
+    def _apply_notice(self, notice: TargetNotice) -> None:
+        if notice.rate_limit != self.rate_limit:
+            target_id = self._target.target_id if self._target else ""
+            self._explainer.event(
+                "target rate limit",
+                target=target_id,
+                requests_per_s=notice.rate_limit,
+                before=self.rate_limit,
+            )
+            self.rate_limit = notice.rate_limit
+
     @staticmethod
     def _dispatch(gate: Gate[Waiter]) -> None:
         started, refused = gate.dequeue()
--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -1,7 +1,8 @@
 """Counters and latency histograms of a mesh node, served as text."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -9,7 +10,7 @@
 from .http import HttpRequest, HttpResponse, HttpService
 from .quota import RateState
 
-__all__ = ["MeshMetrics"]
+__all__ = ["MeshMetrics", "TargetState"]
 
 MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
@@ -28,15 +29,31 @@
 """Names of the metrics of a rate, by the field of :class:`.RateState`."""
 
 
+class TargetState(NamedTuple):
+    """The requests handed to the target since the start, by kind, and its stated limit.
+
+    ``rate_limit`` is in requests per second, None if the target states none.
+    """
+
+    handed: Mapping[str, int]
+    rate_limit: float | None
+
+
 class MeshMetrics(HttpService):
     """The metrics of a node, in the Prometheus text format.
 
-    ``rates`` returns the states of the organisations' rates.
+    ``rates`` returns the states of the organisations' rates, ``target`` that of the
+    target on this host.
     """
 
-    def __init__(self, rates: Callable[[], list[RateState]] = list) -> None:
+    def __init__(
+        self,
+        rates: Callable[[], list[RateState]] = list,
+        target: Callable[[], TargetState] = lambda: TargetState({}, None),
+    ) -> None:
         self.requests: Counter[str] = Counter()
         self._rates = rates
+        self._target = target
         self._buckets: Counter[int] = Counter()
         self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
 
@@ -59,9 +76,19 @@
             seconds = self._histogram.get_value_at_percentile(quantile) / 1e6
             lines.append(f'beryldrum_answer_seconds{{quantile="{quantile / 100:g}"}} {seconds:g}')
         lines.append(f"beryldrum_answer_seconds_count {self._histogram.get_total_count()}")
-        lines += self._rate_lines()
+        lines += self._target_lines() + self._rate_lines()
         return "\n".join(lines) + "\n"
 
+    def _target_lines(self) -> list[str]:
+        state = self._target()
+        lines = ["# TYPE beryldrum_target_handed_total counter"]
+        for kind, count in sorted(state.handed.items()):
+            lines.append(f'beryldrum_target_handed_total{{kind="{kind}"}} {count}')
+        if state.rate_limit is not None:
+            lines.append("# TYPE beryldrum_target_rate_limit gauge")
+            lines.append(f"beryldrum_target_rate_limit {state.rate_limit:g}")
+        return lines
+
     def _rate_lines(self) -> list[str]:
         lines = []
         states = self._rates()
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -57,7 +57,7 @@
 from .links import Link, LinkHandler, LinkProtocol, listen
 from .load_balancer import LoadBalancer
 from .local_target import LocalTarget
-from .metrics import MeshMetrics
+from .metrics import MeshMetrics, TargetState
 from .quota import Quotas, Tolerance
 from .settings import MeshSettings
 from .store import Store
@@ -192,12 +192,12 @@
         self.directory = Directory(self.clock, self.member)
         tolerance = Tolerance(cfg.rate_tolerance, cfg.rate_tolerance_requests)
         self.quotas = Quotas(self.clock, self._rng, tolerance, cfg.first_start)
-        self.metrics = MeshMetrics(self.quotas.states)
         self.graph = CallGraph(self.clock)
         response_memory = MemoryBudget(int(cfg.memory_mb * 2**20 * RESPONSE_MEMORY_SHARE))
         self.target = LocalTarget(
             self.clock, adapter, self.explainer, self.graph.record_run, response_memory
         )
+        self.metrics = MeshMetrics(self.quotas.states, self._target_state)
         self.stopping = False
         self._deadlines = Deadlines()
         self._heartbeat_sequence = itertools.count(1)
@@ -275,6 +275,9 @@
             self._record_call,
         )
 
+    def _target_state(self) -> TargetState:
+        return TargetState(self.target.handed, self.target.rate_limit)
+
     # Decisions that combine several components.
 
     def _record_call(self, route: Route, request_id: str) -> tuple[int, bool]:
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -1,5 +1,7 @@
 """The platform's wire formats for requests, answers and target messages."""
 
+import math
+
 import msgspec
 
 from ..errors import DocumentError
@@ -10,6 +12,7 @@
     RequestMetadata,
     ResponseKind,
     TargetMessage,
+    TargetNotice,
     WireAdapter,
 )
 from ..mesh.document import FleetDocument
@@ -26,6 +29,8 @@
 ORGANISATION = b"X-Tenant"
 EXPECTED_TARGET = b"X-Expected-Instance"
 NOT_RUN = b"x-not-executed"
+RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 CALLER_SERVICE = b"X-Caller-Service"
 MISDIRECTED = 421
 
@@ -135,6 +140,17 @@
             return ResponseKind.UNVERIFIED
         return ResponseKind.FAILED if response.status >= 500 else ResponseKind.ANSWERED
 
+    def target_notice(self, response: Response) -> TargetNotice | None:
+        kind = self.classify(response)
+        if response.status == MISDIRECTED or kind is ResponseKind.UNVERIFIED:
+            return None
+        rate_limit = None
+        if RATE_LIMIT in response.headers:
+            rate_limit = _requests_per_s(response.headers[RATE_LIMIT])
+            if rate_limit is None:
+                return None
+        return TargetNotice(rate_limit, response.header(LEAVING).strip() == b"1")
+
     def response_headers(self, response: Response) -> bytes:
         stripped = _headers_to_strip(response.raw_headers)
         lines = [
@@ -184,6 +200,14 @@
             raise DocumentError((f"configuration: {exc}",)) from exc
 
 
+def _requests_per_s(value: bytes) -> float | None:
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
+
+
 def _bearer_key(authorization: bytes) -> str:
     scheme, _, key = authorization.decode("latin-1").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
--- a/beryldrum/standin/endpoint.py
+++ b/beryldrum/standin/endpoint.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections import deque
 from typing import Any
 
@@ -58,6 +59,10 @@
         self.script: deque[str] = deque()
         self.runs: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
+        self.notices = ""
+        """Header lines about the target itself that each answer has, each ended by CR LF."""
+        self.arrivals: list[float] = []
+        """Monotonic times in seconds at which requests arrived."""
         self.disconnects = 0
         self.connections = 0
         self._server: asyncio.Server | None = None
@@ -94,10 +99,11 @@
         return req
 
     async def _respond(self, req: ParsedRequest, reader: asyncio.StreamReader, writer: Any) -> None:
+        self.arrivals.append(time.monotonic())
         behaviour = self.script.popleft() if self.script else ""
         request_id = req.headers.get("x-request-id", "")
         if behaviour == "full":
-            writer.write(_response(503, request_id, b"", "X-Not-Executed: 1\r\n"))
+            writer.write(_response(503, request_id, b"", self.notices + "X-Not-Executed: 1\r\n"))
             return
         if behaviour == "moved":
             writer.write(_response(421, request_id, b"", ""))
@@ -112,7 +118,7 @@
             return
         if behaviour == "slow":
             await asyncio.sleep(0.3)
-        signature = "X-Server-Signature: s\r\n"
+        signature = self.notices + "X-Server-Signature: s\r\n"
         response = _response(200, request_id, b"done", signature)
         if behaviour == "cut":
             writer.close()
