Client: take no repeated answer for that to a later request

Cause: an answer without a request id was taken for the awaited one on any connection; an answer that ends with its connection, and the head that answers HEAD, were not compared with the id at all; and a request that was refused could go out again on the connection of its first attempt, where a repeated refusal bears its own id. Class: a statement is attributed by position, not by what it names. Change: on a connection that carried an earlier request, an answer without an id is passed over like another's; answers that end with the connection are compared too; a request that was handed over before gets a new connection.

--- a/beryldrum/mesh/client.py
+++ b/beryldrum/mesh/client.py
@@ -63,6 +63,8 @@
         self._in_body = False
         self._request_id = b""
         self._head_only = False
+        self._requests = 0
+        """Requests sent on this connection."""
         self.used_at = time.monotonic()
         self.idle_s = MAX_IDLE_S
         self.reusable = True
@@ -89,11 +91,13 @@
     def send(self, data: bytes, request_id: bytes, head_only: bool) -> "asyncio.Future[Response]":
         """Send a request and return the future of its answer.
 
-        An answer that names another request than ``request_id`` is skipped; with an
-        empty ``request_id`` any answer is taken.
+        An answer that names another request than ``request_id`` is skipped, and so is
+        one that names none on a connection that carried an earlier request: a target may
+        repeat its answer to that. With an empty ``request_id`` any answer is taken.
         """
         assert self._transport is not None
         self._request_id = request_id
+        self._requests += 1
         self._head_bytes = 0
         self._in_body = False
         self._head_only = head_only
@@ -138,8 +142,7 @@
 
     def eof_received(self) -> None:
         if self._fut is not None and self._headers and not self._framed:
-            self.reusable = False
-            self._deliver()
+            self._deliver_last()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
@@ -170,8 +173,7 @@
         # Other bodies end with the connection.
         self._framed = sized or status < 200 or status in (204, 304)
         if self._head_only and status >= 200 and self._fut is not None:
-            self.reusable = False
-            self._deliver()
+            self._deliver_last()
 
     def on_body(self, body: bytes) -> None:
         self._body.append(body)
@@ -191,7 +193,16 @@
     def _matches_request(self) -> bool:
         if not self._request_id:
             return True
-        return self._headers.get(self._id_header, self._request_id) == self._request_id
+        named = self._headers.get(self._id_header)
+        return named == self._request_id or (named is None and self._requests == 1)
+
+    def _deliver_last(self) -> None:
+        """Deliver an answer after which no other can be read on this connection."""
+        self.reusable = False
+        if self._matches_request():
+            self._deliver()
+        else:
+            self._fail("answer to another request")
 
     def _deliver(self) -> None:
         self._release()
@@ -249,18 +260,23 @@
         request_id: bytes = b"",
         max_idle_s: float = MAX_IDLE_S,
         head_only: bool = False,
+        new_connection: bool = False,
     ) -> Response:
         """Send a request and return its complete answer.
 
         A connection that has been idle for longer than ``max_idle_s`` seconds is not
-        reused. Set ``head_only`` for a HEAD request, whose answer has no body.
+        reused. Set ``head_only`` for a HEAD request, whose answer has no body, and
+        ``new_connection`` if the same request was sent before: a repeated answer to the
+        first attempt could not be told from the awaited one.
 
         Raises TargetUnreachedError if no connection could be opened, so nothing was
         sent; AnswerLostError if the request may have been sent and no complete answer
         came; TimeoutError if none came within ``timeout_s`` seconds. On cancellation
         the connection is closed, which lets the target stop.
         """
-        conn = self._take_idle(max_idle_s) or await self._connect(min(timeout_s, CONNECT_TIMEOUT_S))
+        conn = None if new_connection else self._take_idle(max_idle_s)
+        if conn is None:
+            conn = await self._connect(min(timeout_s, CONNECT_TIMEOUT_S))
         fut = conn.send(data, request_id, head_only)
         deadline = self._deadlines.schedule(timeout_s, fut)
         try:
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -86,6 +86,8 @@
         """What other nodes have told of targets that are not known here yet."""
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[Reply]] = set()
+        self._handed_before: dict[str, float] = {}
+        """Deadlines of the requests that may be handed over again, by request id."""
 
     # State of the target.
 
@@ -168,7 +170,9 @@
         """Close stale connections; returns whether the heartbeats have just timed out."""
         if self._pool is not None:
             self._pool.sweep()
-        silent = self._clock.now() - self._last_heartbeat_at > HEARTBEAT_TIMEOUT_S
+        now = self._clock.now()
+        self._handed_before = {k: v for k, v in self._handed_before.items() if v > now}
+        silent = now - self._last_heartbeat_at > HEARTBEAT_TIMEOUT_S
         if self._target is None or not silent or self._target.state != READY:
             return False
         self._target = self._target._replace(state="silent")
@@ -277,9 +281,15 @@
             run.body,
         )
         idle_s = 60.0 if run.idempotent else NON_IDEMPOTENT_MAX_IDLE_S
+        handed_before = run.request_id in self._handed_before
         try:
             response = await self._pool.request(
-                data, left_s, run.request_id.encode("latin-1"), idle_s, run.method == "HEAD"
+                data,
+                left_s,
+                run.request_id.encode("latin-1"),
+                idle_s,
+                run.method == "HEAD",
+                handed_before,
             )
         except TargetUnreachedError:
             return not_run(request.TARGET_UNREACHED)
@@ -289,6 +299,8 @@
             return unknown(request.TIMED_OUT)
         self._apply_notice(self._adapter.target_notice(response), target, handed_at)
         kind = self._adapter.classify(response)
+        if kind is not ResponseKind.ANSWERED:
+            self._handed_before[run.request_id] = deadline
         if kind is ResponseKind.NOT_RUN:
             return not_run(request.SHED, MIN_RETRY_AFTER_MS, handed=True)
         if kind is ResponseKind.UNVERIFIED:
--- a/beryldrum/standin/endpoint.py
+++ b/beryldrum/standin/endpoint.py
@@ -45,6 +45,9 @@
     - ``full``: answer 503, marked as not executed
     - ``moved``: answer 421, as if another instance had taken over the address
     - ``cut``: run, then close the connection without an answer
+    - ``head``: run, then close the connection in the middle of the answer's head
+    - ``stale``: run, but first write a refusal of the request once more, on a connection
+      that was used before
     - ``half``: run, then close the connection in the middle of the answer
     - ``other``: run, send an answer to another request first
     - ``twice``: run, send the answer twice
@@ -79,12 +82,14 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        kept = False
         with contextlib.suppress(OSError):
             while not writer.is_closing():
                 req = await self._read_request(reader)
                 if req is None:
                     break
-                await self._respond(req, reader, writer)
+                await self._respond(req, reader, writer, kept)
+                kept = True
         writer.close()
 
     @staticmethod
@@ -98,7 +103,9 @@
             parser.feed_data(chunk)
         return req
 
-    async def _respond(self, req: ParsedRequest, reader: asyncio.StreamReader, writer: Any) -> None:
+    async def _respond(
+        self, req: ParsedRequest, reader: asyncio.StreamReader, writer: Any, kept: bool
+    ) -> None:
         self.arrivals.append(time.monotonic())
         behaviour = self.script.popleft() if self.script else ""
         request_id = req.headers.get("x-request-id", "")
@@ -122,6 +129,13 @@
         response = _response(200, request_id, b"done", signature)
         if behaviour == "cut":
             writer.close()
+        elif behaviour == "head":
+            writer.write(response[: response.index(b"Content-Length") + 5])
+            await writer.drain()
+            writer.close()
+        elif behaviour == "stale":
+            refusal = _response(503, request_id, b"", "X-Not-Executed: 1\r\n")
+            writer.write((refusal if kept else b"") + response)
         elif behaviour == "half":
             writer.write(response[:-2])
             await writer.drain()
--- a/tests/test_mesh_client.py
+++ b/tests/test_mesh_client.py
@@ -103,7 +103,7 @@
 
     async def test_a_whole_answer_gives_its_memory_back(self):
         body = b"y" * 100_000
-        first = OK + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        first = OK + b"X-Request-Id: r1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
         async def answer(reader, writer):
             with contextlib.suppress(asyncio.IncompleteReadError):
