--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -41,6 +41,9 @@
 QUOTA = "tests/test_mesh_quota.py::QuotaTest"
 SURGE = "tests/test_mesh_surge.py::SurgeTest::test_surge_2_a_large_organisation"
 ADAPTER = "tests/test_platform_adapter.py::"
+NOTICES = "tests/test_target_notices.py::"
+KEPT = "tests/test_mesh_kept_connections.py::"
+STOP = "tests/test_mesh_stop.py::"
 MUTANTS = (
     Mutant(
         "retries stay bounded end to end",
@@ -449,6 +452,76 @@
         "        if False:\n",
         ADAPTER + "AnnouncedTest",
     ),
+    Mutant(
+        "mesh: a stated limit is kept at the gate",
+        "mesh/gate.py",
+        "        return self.in_flight < self.limit and not self.stated_limit.delay_s()\n",
+        "        return self.in_flight < self.limit\n",
+        NOTICES + "StatedLimitTest",
+    ),
+    Mutant(
+        "mesh: an older answer does not end a limit",
+        "mesh/stated_limit.py",
+        "        if looser and handed_at < self.stated_at:\n",
+        "        if False:\n",
+        NOTICES + "StatedLimitOrderTest",
+    ),
+    Mutant(
+        "mesh: an answer takes its target out",
+        "mesh/local_target.py",
+        '            self._leave("answer")\n',
+        "            pass\n",
+        NOTICES + "StatedLimitTest",
+    ),
+    Mutant(
+        "mesh: a restarted node is told what its target stated",
+        "mesh/node.py",
+        "                self.target.inform(message.target_status)\n",
+        "                pass\n",
+        NOTICES + "RestartTest",
+    ),
+    Mutant(
+        "mesh: an answer without an id is not the next's",
+        "mesh/client.py",
+        "(named is None and self._requests == 1)\n",
+        "named is None\n",
+        KEPT + "RepeatedRefusalTest",
+    ),
+    Mutant(
+        "mesh: an answer that ends with its connection is compared too",
+        "mesh/client.py",
+        "        if self._matches_request():\n            self._deliver()\n",
+        "        if True:\n            self._deliver()\n",
+        KEPT + "RepeatedRefusalTest",
+    ),
+    Mutant(
+        "mesh: a retry gets a new connection",
+        "mesh/local_target.py",
+        "            self._handed_before[run.request_id] = deadline\n",
+        "            pass\n",
+        KEPT + "RepeatedRefusalTest",
+    ),
+    Mutant(
+        "mesh: a stopping node takes what it can finish",
+        "mesh/entry.py",
+        " or now + run_s > self.stop_at:\n",
+        ":\n",
+        STOP + "PlannedStopTest",
+    ),
+    Mutant(
+        "mesh: what a stop leaves is answered",
+        "mesh/entry.py",
+        "            if self._ending:\n",
+        "            if False:\n",
+        STOP + "PlannedStopTest",
+    ),
+    Mutant(
+        "mesh: a stopping gate gives no more time than it has",
+        "mesh/local_target.py",
+        "        deadline = min(now + run.left_ms / 1000, self.stop_at)\n",
+        "        deadline = now + run.left_ms / 1000\n",
+        STOP + "PlannedStopTest",
+    ),
 )
 
 
