Adapter: read the start that a target states when it deregisters

What callers see: a target that has started again under its old id can be taken out of use by a late deregistration of its earlier start; its host serves nothing until the target starts once more. Change: a deregistration carries the start if it is stated; one of an earlier start does not concern the current one. Measured: test_platform_adapter, 7 cases failed before, 53 pass.

--- a/beryldrum/mesh/conventions.py
+++ b/beryldrum/mesh/conventions.py
@@ -74,9 +74,13 @@
 
 
 class Deregistration(NamedTuple):
-    """A target's message that it is shutting down for good."""
+    """A target's message that it is shutting down for good.
+
+    ``born_ms`` is the wall-clock time of its start, 0 where it is not stated.
+    """
 
     target_id: str
+    born_ms: int = 0
 
 
 TargetMessage = Announcement | Deregistration
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -119,9 +119,12 @@
         self._gate = Gate(self._clock, announcement.slots)
         self._apply_told()
 
-    def deregister(self, target_id: str) -> bool:
-        """Record that a target has deregistered; returns whether peers have to be notified."""
-        left = self.announcements.deregister(target_id, self._clock.wall_ms())
+    def deregister(self, target_id: str, born_ms: int = 0) -> bool:
+        """Record that a target has deregistered; returns whether peers have to be notified.
+
+        ``born_ms`` is the start that it states, 0 if none.
+        """
+        left = self.announcements.deregister(target_id, self._clock.wall_ms(), born_ms)
         if left:
             self._target = self.announcements.current
             self._refuse_waiting(request.LEAVING)
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -624,7 +624,7 @@
             self.explainer.event("target statement ignored", bytes=len(http_request.body))
             return False
         if isinstance(statement, Deregistration):
-            changed = self.target.deregister(statement.target_id)
+            changed = self.target.deregister(statement.target_id, statement.born_ms)
         else:
             assert isinstance(statement, Announcement)
             changed = self.target.heartbeat(statement)
--- a/beryldrum/mesh/target.py
+++ b/beryldrum/mesh/target.py
@@ -84,15 +84,20 @@
         if self.current is not None:
             self.current = self.current._replace(state=DRAINING)
 
-    def deregister(self, target_id: str, wall_ms: int) -> bool:
+    def deregister(self, target_id: str, wall_ms: int, born_ms: int = 0) -> bool:
         """Record that a target has deregistered; returns whether it was in use.
 
-        The start time of a target that is not the current one is not known here, so
-        later heartbeats that state a start up to ``wall_ms`` are ignored.
+        ``born_ms`` is the start that it states, 0 if none: a late message of an earlier
+        start does not concern the current one. The start of a target that is not the
+        current one is not known here, so unless it is stated, later heartbeats with a
+        start up to ``wall_ms`` are ignored.
         """
         old = self.current
         known = old is not None and old.target_id == target_id
-        self._ended[target_id] = old.born_ms if old is not None and known else wall_ms
+        if old is not None and 0 < born_ms < old.born_ms:
+            known = False
+        ended_ms = born_ms or (old.born_ms if old is not None and known else wall_ms)
+        self._ended[target_id] = max(ended_ms, self._ended.get(target_id, 0))
         while len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
         if old is None or not known:
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -80,6 +80,11 @@
     born: int = 0
 
 
+class _Start(msgspec.Struct):
+    born: int = 0
+
+
+_start_decoder = msgspec.json.Decoder(_Start)
 _heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
 
 
@@ -175,7 +180,7 @@
         )
         call, target_id = query.get("call", ""), query.get("of", "")
         if call == DEREGISTER and target_id:
-            return Deregistration(target_id)
+            return Deregistration(target_id, _stated_start_ms(http_request.body))
         if call != HEARTBEAT or not target_id:
             return None
         try:
@@ -204,6 +209,13 @@
             raise DocumentError((f"configuration: {exc}",)) from exc
 
 
+def _stated_start_ms(body: bytes) -> int:
+    try:
+        return _start_decoder.decode(body).born if body else 0
+    except (msgspec.DecodeError, ValueError):
+        return 0
+
+
 def _requests_per_s(value: bytes) -> float | None:
     try:
         rate = float(value)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -52,6 +52,21 @@
             ADAPTER.parse_target_message(http_request("/rpc?call=instances.deregister&of=i-1")),
         )
 
+    @parameterized.expand(
+        [
+            ("stated", b'{"born":17}', 17),
+            ("beside other fields", b'{"born":17,"status":{"state":"draining"}}', 17),
+            ("not stated", b"{}", 0),
+            ("of another type", b'{"born":"17"}', 0),
+            ("not json", b"\xff", 0),
+        ]
+    )
+    def test_start_of_a_target_that_has_left(self, _, body, born_ms):
+        message = ADAPTER.parse_target_message(
+            http_request("/rpc?call=instances.deregister&of=i-1", body)
+        )
+        self.assertEqual(Deregistration("i-1", born_ms), message)
+
     @parameterized.expand(
         [
             ("not json", http_request("/rpc?call=instances.heartbeat&of=i-1", b"\xff{")),
@@ -107,6 +122,15 @@
         self.assertFalse(tracker.heartbeat(self.announcement(sequence=7)))
         self.assertEqual(DRAINING, tracker.current.state)
 
+    @parameterized.expand([("an earlier start", 90, False), ("this one", 100, True)])
+    def test_a_late_leave_of_an_earlier_start_takes_a_target_out(self, _, born_ms, left):
+        tracker = AnnouncementTracker()
+        tracker.heartbeat(self.announcement())
+        self.assertEqual(left, tracker.deregister("i-1", 500, born_ms))
+        self.assertEqual(DRAINING if left else "ready", tracker.current.state)
+        # The start that has ended stays so.
+        self.assertFalse(tracker.heartbeat(self.announcement(born=90, sequence=8)))
+
     def test_a_leave_that_is_heard_first(self):
         tracker = AnnouncementTracker()
         self.assertFalse(tracker.deregister("i-1", 500))
