Soak: targets state limits and that they leave, repeat refusals and stop in their heads

Targets state a rate limit, lower it and lift it; they leave with `Server-Leaving`, half of them without saying so in heartbeats. Two more faults: a refusal without an id is repeated on a used connection, and a response stops in its head. One caller of each host goes on using its connection until the process is gone. The checker holds both statements against what callers were passed on.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -159,6 +159,7 @@
         if response is None:
             self._checker.record_lost(req, self._was_killed(self._host, req.sent_at))
             return 0.1
+        self._checker.record_statements(req, response.headers)
         complete = response.body == response_body(req.request_id)
         self._checker.check_response(
             req, response.status, b"x-server-signature" in response.headers, complete
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -21,6 +21,13 @@
 """Time since the last fault of a host or the store after which its time limits apply."""
 
 
+LIMIT_BINDS_AFTER_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
+TOLD_BEFORE_S = 0.5
+"""Time since a host passed on a limit after which its requests count against it."""
+
+
 class SentRequest(NamedTuple):
     """A request that a caller sent; ``service`` is the service of the caller's host."""
 
@@ -69,6 +76,13 @@
         """Time of confirmation and new service of each change of route ``move``."""
         self.faulty_until: dict[str, float] = {}
         """End of the latest fault of each host and of the store."""
+        self.rate_limits: dict[str, float] = {}
+        """The limit that each target states, by target id."""
+        self._limited_since: dict[str, float] = {}
+        """When a caller first got an answer with the present limit of each target."""
+        self._told: dict[tuple[str, str, str], float] = {}
+        """When each host first passed on a statement (``limit``, ``leaving``) of a target."""
+        self._limited_arrivals: dict[str, deque[float]] = {}
         self._max_hot_runs = (rate * RATE_WINDOW_S + burst) * 1.1 + 20
         self._hot_runs: deque[float] = deque()
         self._refusals: dict[str, int] = {}
@@ -77,6 +91,47 @@
         """Add a violation to the findings."""
         self.findings.append(f"{violation}: {details}")
 
+    def limit_rate(self, target: str, rate: float | None) -> None:
+        """Record that a target states another rate limit from now on, or none."""
+        self.rate_limits.pop(target, None)
+        self._limited_since.pop(target, None)
+        self._limited_arrivals.pop(target, None)
+        for key in [k for k in self._told if k[1:] == (target, "limit")]:
+            del self._told[key]
+        if rate is not None:
+            self.rate_limits[target] = rate
+
+    def record_statements(self, req: SentRequest, headers: dict[bytes, bytes]) -> None:
+        """Record what a response states about its target, as a caller got it."""
+        target, at = headers.get(b"x-instance-id", b"").decode(), self.now()
+        if b"server-leaving" in headers:
+            self._told.setdefault((req.host, target, "leaving"), at)
+        if b"server-limit" in headers and target in self.rate_limits:
+            self._limited_since.setdefault(target, at)
+            self._told.setdefault((req.host, target, "limit"), at)
+
+    def _told_at(self, host: str, target: str, statement: str) -> float:
+        """Return when a host passed on a statement; infinite if a fault excuses it since."""
+        at = self._told.get((host, target, statement), float("inf"))
+        return at if self.faulty_until.get(host, float("-inf")) < at else float("inf")
+
+    def _check_statements(self, req: SentRequest, received: ReceivedRequest) -> None:
+        target, at = received.target, received.received_at
+        if req.sent_at > self._told_at(req.host, target, "leaving") + TARGET_DRAIN_S:
+            self.add_finding("request sent to a target that said it leaves", id=req.request_id)
+        if at < self._told_at(req.host, target, "limit") + TOLD_BEFORE_S:
+            return
+        if at < self._limited_since[target] + LIMIT_BINDS_AFTER_S:
+            return
+        arrivals = self._limited_arrivals.setdefault(target, deque())
+        arrivals.append(at)
+        while arrivals[0] < at - LIMIT_WINDOW_S:
+            arrivals.popleft()
+        most = LIMIT_FACTOR * LIMIT_WINDOW_S * self.rate_limits[target] + LIMIT_SLACK
+        if len(arrivals) > most:
+            self.add_finding("over a target's limit", target=target, runs=len(arrivals), most=most)
+            arrivals.clear()
+
     def record_sent(self, req: SentRequest) -> None:
         """Record a request that is about to be sent."""
         self.sent_requests[req.request_id] = req
@@ -107,6 +162,7 @@
             self.add_finding(
                 "request sent to a draining target", id=request_id, after_s=round(draining_for_s, 2)
             )
+        self._check_statements(req, received)
         if req.path.startswith("/move/"):
             self._check_route(req, received)
         if headers.get("x-tenant") == "hot":
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -29,7 +29,10 @@
 RATE, BURST = 40.0, 40.0
 STOP_TIMEOUT_S = 6.0
 SERVICES = ("shop", "stock", "shop")
-FAULT_MODES = ("cut", "half", "other", "extra", "full", "hang", "fail", "slow")
+FAULT_MODES = ("cut", "half", "other", "extra", "full", "hang", "fail", "slow", "head", "stale")
+LIMITED_S = 8.0
+"""Shortest time for which a limit is stated; it binds after three seconds."""
+
 RECOVERY_S = 15.0
 """Time after the last fault by which service must have recovered."""
 
@@ -146,8 +149,9 @@
             while not all(host.ready for host in self.hosts):
                 await asyncio.sleep(0.1)
         for host in self.hosts:
+            # The first goes on using its connection until the process is gone.
             for number in range(5):
-                hot = number == 4
+                hot, persistent = number == 4, number == 0
                 caller = Caller(
                     self.checker,
                     self.rng,
@@ -157,7 +161,7 @@
                     (lambda: "k-hot") if hot else self._choose_key,
                     (lambda: 0.1 / self._hot_rate_factor) if hot else (lambda: 0.08),
                     self._was_killed,
-                    self._is_ready,
+                    (lambda _: True) if persistent else self._is_ready,
                 )
                 self._spawn(caller.run())
 
@@ -336,11 +340,21 @@
             return
         self._restarting.add(name)
         target = self.targets[host.name]
-        await target.stop(drain_s=self.rng.choice((0.0, 2.5)))
+        drain_s = self.rng.choice((0.0, 2.5, 4.0))
+        await target.stop(drain_s, announce=self.rng.random() < 0.5)
         await asyncio.sleep(min(1.0, seconds))
         await target.start()
         self._restarting.discard(name)
 
+    async def limit(self, host: Host, seconds: float) -> None:
+        """Make a target state a rate limit, lower it midway and lift it."""
+        target = self.targets[host.name]
+        target_id, rate = target.target_id, self.rng.uniform(0.0, 8.0)
+        for factor in (1.0, 0.7, None):
+            if target.target_id == target_id:
+                target.limit_rate(factor and rate * factor)
+            await asyncio.sleep(LIMITED_S + seconds if factor else 0.0)
+
     async def withdraw(self, host: Host, seconds: float) -> None:
         """Withdraw a key that is in use and add a new one."""
         key, new_key = self._choose_key(), f"k-{self._version}x"
@@ -367,7 +381,7 @@
         """Inject overlapping faults for ``seconds``, then check that the fleet recovers."""
         kinds: list[Callable[[Host, float], Awaitable[None]]] = [
             self.freeze, self.kill, self.stop, self.link, self.link, self.store_fault,
-            self.mood, self.replace, self.withdraw, self.move, self.heat,
+            self.mood, self.replace, self.limit, self.limit, self.withdraw, self.move, self.heat,
         ]  # fmt: skip
         until = self.checker.now() + seconds
         active: set[asyncio.Task[Any]] = set()
--- a/soak/target.py
+++ b/soak/target.py
@@ -19,6 +19,9 @@
 HEARTBEAT_PERIOD_S = 1.5
 CONTROL_TIMEOUT_S = 1.0
 CALL_TIMEOUT_MS = 700
+SIGNATURE = "X-Server-Signature: s\r\n"
+REFUSED = "X-Not-Executed: 1\r\n"
+REFUSAL_WITHOUT_ID = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 
 class Target:
@@ -27,6 +30,8 @@
     ``fault_share`` of its requests, between 0 and 1, get the fault ``fault_mode``:
 
     - ``cut``: close the connection without a response
+    - ``head``: stop in the middle of the response's head and close the connection
+    - ``stale``: on a used connection, repeat an earlier refusal without an id first
     - ``half``: truncate the response and close the connection
     - ``other``: send the response of another request first
     - ``extra``: send the response of another request afterwards
@@ -34,6 +39,8 @@
     - ``hang``: send no response; close when the peer sends data or closes
     - ``fail``: respond with 500
     - ``slow``: respond 0.4 s late
+
+    Each response states ``rate_limit`` (requests per second) if set, and ``leaving``.
     """
 
     def __init__(
@@ -59,26 +66,39 @@
         self._heartbeat_task: asyncio.Task[None] | None = None
         self.fault_mode, self.fault_share = "", 0.0
         self.slots, self.running = 40, 0
+        self.rate_limit: float | None = None
+        self.leaving = False
 
     async def start(self) -> None:
         """Start a new incarnation, with a new target id, on the same address."""
         self.target_id = f"i-{self.address[-5:]}-{next(self._incarnations)}"
         self.born, self.state = int(self._rng.random() * 1000) + _wall_ms(), "ready"
+        self.leaving = False
+        self.limit_rate(None)
         self._sequence = itertools.count(1)
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
-    async def stop(self, drain_s: float = 0.0) -> None:
+    def limit_rate(self, rate: float | None) -> None:
+        """State a rate limit in all responses from now on, or none."""
+        self.rate_limit = rate
+        self._checker.limit_rate(self.target_id, rate)
+
+    async def stop(self, drain_s: float = 0.0, announce: bool = True) -> None:
         """Stop serving.
 
-        With ``drain_s``, first announce that the target drains, keep serving for that many
-        seconds and deregister.
+        With ``drain_s``, first state in all responses that the target leaves, and unless
+        ``announce`` is false in heartbeats too; keep serving for that many seconds and
+        deregister.
         """
         if drain_s:
+            self.leaving = True
+        if drain_s and announce:
             self.state = "draining"
             if await self._call_control("instances.heartbeat"):
                 self._checker.draining[self.target_id] = self._checker.now()
+        if drain_s:
             await asyncio.sleep(drain_s)
             await self._call_control("instances.deregister")
         if self._heartbeat_task is not None:
@@ -112,6 +132,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        kept = False
         with contextlib.suppress(OSError, httptools.HttpParserError):
             while not writer.is_closing():
                 call = ParsedRequest()
@@ -121,12 +142,17 @@
                     if not data:
                         return
                     parser.feed_data(data)
-                await self._handle(call, reader, writer)
+                await self._handle(call, reader, writer, kept)
+                kept = True
         self._writers.discard(writer)
         writer.close()
 
     async def _handle(
-        self, call: ParsedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        call: ParsedRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        kept: bool,
     ) -> None:
         request_id = call.headers.get("x-request-id", "")
         fault_mode = self.fault_mode if self._rng.random() < self.fault_share else ""
@@ -135,8 +161,10 @@
             writer.write(_encode_response(421, request_id, b""))
             return
         if fault_mode == "full" or self.running >= self.slots:
-            writer.write(_encode_response(503, request_id, b"", "X-Not-Executed: 1\r\n"))
+            writer.write(self._encode(503, request_id, b"", REFUSED))
             return
+        if fault_mode == "stale" and kept:
+            writer.write(REFUSAL_WITHOUT_ID)
         received = ReceivedRequest(
             self.target_id, self.service, call.url.decode(), call.headers, call.body, _now()
         )
@@ -152,16 +180,28 @@
         elif fault_mode == "cut":
             writer.close()
         elif fault_mode == "fail" or not succeeded:
-            writer.write(_encode_response(500, request_id, b"failed", "X-Server-Signature: s\r\n"))
+            writer.write(self._encode(500, request_id, b"failed", SIGNATURE))
         else:
             self._write_response(writer, request_id, fault_mode)
 
-    @staticmethod
-    def _write_response(writer: asyncio.StreamWriter, request_id: str, fault_mode: str) -> None:
-        signature = "X-Server-Signature: s\r\n"
-        response = _encode_response(200, request_id, response_body(request_id), signature)
-        another = _encode_response(200, "another", b"theirs", signature)
-        if fault_mode == "half":
+    def _encode(self, status: int, request_id: str, body: bytes, headers: str = "") -> bytes:
+        """Return a response with what the target states about itself."""
+        headers += f"X-Instance-Id: {self.target_id}\r\n"
+        if self.rate_limit is not None:
+            headers += f"Server-Limit: {self.rate_limit:.2f}\r\n"
+        if self.leaving:
+            headers += "Server-Leaving: 1\r\n"
+        return _encode_response(status, request_id, body, headers)
+
+    def _write_response(
+        self, writer: asyncio.StreamWriter, request_id: str, fault_mode: str
+    ) -> None:
+        response = self._encode(200, request_id, response_body(request_id), SIGNATURE)
+        another = _encode_response(200, "another", b"theirs", SIGNATURE)
+        if fault_mode == "head":
+            writer.write(response[: response.index(b"Content-Length") + 4])
+            writer.close()
+        elif fault_mode == "half":
             writer.write(response[:-3])
             writer.close()
         else:
@@ -192,6 +232,8 @@
             return False
         finally:
             conn.close()
+        if response is not None:
+            self._checker.record_statements(req, response.headers)
         return response is not None and response.status == 200
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -107,6 +107,48 @@
         self.assertIn("over the rate", self.checker.findings[0])
 
 
+class StatementsTest(TestCase):
+    """What targets state in their responses binds the hosts that have passed it on."""
+
+    def setUp(self):
+        super().setUp()
+        self.checker = Checker(40, 40)
+        self.checker.key_owners = {"k": "mart"}
+        self.at = 100.0
+        self.checker.now = lambda: self.at
+
+    def arrive(self, at, host="h0"):
+        request_id = f"r{at}"
+        self.checker.record_sent(sent_request(request_id=request_id, sent_at=at, host=host))
+        self.checker.check_received(received_request(at, **{"x-request-id": request_id}))
+
+    @parameterized.expand(
+        [
+            # seconds after the first answer, host, when a fault ended, findings
+            ("too many", 4.0, "h0", None, 1),
+            ("before it binds", 2.0, "h0", None, 0),
+            ("a host that passed none on", 4.0, "h1", None, 0),
+            ("a host that had a fault since", 4.0, "h0", 101.0, 0),
+        ]
+    )
+    def test_limit(self, _, after_s, host, faulty_until, findings):
+        self.checker.limit_rate("i-1", 2.0)
+        headers = {b"x-instance-id": b"i-1", b"server-limit": b"2"}
+        self.checker.record_statements(sent_request(), headers)
+        if faulty_until:
+            self.checker.faulty_until["h0"] = faulty_until
+        for number in range(18):
+            self.arrive(self.at + after_s + number / 100, host)
+        self.assertEqual(findings, len(self.checker.findings), self.checker.findings)
+
+    @parameterized.expand([("late", 2.5, 1), ("in time", 1.5, 0)])
+    def test_leaving(self, _, after_s, findings):
+        headers = {b"x-instance-id": b"i-1", b"server-leaving": b"1"}
+        self.checker.record_statements(sent_request(), headers)
+        self.arrive(self.at + after_s)
+        self.assertEqual(findings, len(self.checker.findings), self.checker.findings)
+
+
 class SoakTest(unittest.TestCase):
     """A run with real processes and the faults of a fixed seed; add seeds that ever failed."""
 
