Tests: begin once seats have stopped moving

Cause: Fleet.wait_until_settled was content with one seat a node. If one node of the service is ready some seconds after the other, the other holds 11 of 12 seats by then and hands over one each two seconds. A key whose seat moves is answered 504 home-unreachable, for 6 s, and outcome-not-kept for 1.5 s more; and a kill of the node with one seat of twelve may concern no key at all.

The harness now waits until seats are even, none is vacant and each takes new keys; nodes report the latter two in their status. The two tests that kill a process wait until deposits run at both targets in place of 0.2 s. No assertion has changed.

--- a/beryldrum/admin.py
+++ b/beryldrum/admin.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from .errors import RecordError
+from .ledger import TAKEOVER_ERRORS
 from .records import from_fields
 from .target import Target
 
@@ -89,6 +90,10 @@
             "seats": [
                 f"{service}/{number}" for service, number in sorted(node.seat_table.held_seats())
             ],
+            "seats_settling": node.seat_table.count_settling(
+                TAKEOVER_ERRORS * node.cfg.clock_error_ms
+            ),
+            "seats_vacant": {s: state.count_vacant_seats(s) for s in state.documents},
             "accounts": self._accounts(),
             "gate": self._gate(),
             "ledger_keys": {s: len(ledger) for s, ledger in node.service_state.ledgers.items()},
--- a/beryldrum/cluster_state.py
+++ b/beryldrum/cluster_state.py
@@ -223,6 +223,11 @@
                 return version
         return None
 
+    def count_vacant_seats(self, service: str) -> int:
+        """Return the number of seats of a service that no node holds."""
+        seats = self.seats.get(service, {}).values()
+        return self.documents[service].seats - sum(bool(seat.node) for seat in seats)
+
     def seats_held_by(self, node: str) -> list[tuple[str, int, Seat]]:
         """Return the seats held by ``node`` as (service, number, seat) tuples."""
         return [
--- a/beryldrum/ledger.py
+++ b/beryldrum/ledger.py
@@ -89,6 +89,14 @@
     return xxhash.xxh64_intdigest(f"{service}\0{uuid.UUID(key).hex}".encode()) % seats
 
 
+TAKEOVER_ERRORS = 3
+"""Clock errors after a seat was taken over up to which keys may be known to its last home.
+
+That accepted keys from up to one error ahead of its clock, and its clock may differ from
+this node's by twice the error.
+"""
+
+
 def fingerprint(req: Request) -> str:
     """Return a hash of the parts of a request that a repeat must match."""
     digest = xxhash.xxh3_128()
@@ -119,6 +127,7 @@
         self._clock = clock
         self._lifetime_ms = lifetime_ms
         self._error_ms = clock_error_ms
+        self._takeover_ms = TAKEOVER_ERRORS * clock_error_ms
         self._held_since_ms = held_since_ms
         self._max_usage = Usage(max_entries, max_bytes)
         self._entries: dict[str, _Entry[T]] = {}
@@ -149,9 +158,7 @@
             return Err(request.NOT_HOME)
         if born > now + self._error_ms:
             return Err(request.KEY_EXPIRED)
-        # An earlier home accepted keys from up to one clock error ahead of its
-        # clock, and its clock may differ from this one by twice the error.
-        if born <= held_ms + 3 * self._error_ms or born + self._lifetime_ms <= now:
+        if born <= held_ms + self._takeover_ms or born + self._lifetime_ms <= now:
             return Ok(StoredReply(request.unknown(request.OUTCOME_NOT_KEPT)))
         if not self._has_room(req.organisation):
             return Err(request.LEDGER_FULL)
--- a/beryldrum/operations.py
+++ b/beryldrum/operations.py
@@ -341,7 +341,10 @@
             f"gate  {gate['service']} {gate['address']} {gate['state']}  in flight "
             f"{gate['in_flight']}/{gate['limit']}  queued {gate['queued']}  level {gate['level']}"
         )
-    lines.append(f"seats  {', '.join(state['seats']) or 'none'}")
+    lines.append(
+        f"seats  {', '.join(state['seats']) or 'none'}  settling {state['seats_settling']}  "
+        f"vacant on all nodes {sum(state['seats_vacant'].values())}"
+    )
     for name, account in sorted(state["accounts"].items()):
         own, lent, borrowed = account["own"], account["lent"], account["borrowed"]
         lines.append(
--- a/beryldrum/seats.py
+++ b/beryldrum/seats.py
@@ -103,6 +103,16 @@
             return None
         return held.start_ms
 
+    def count_settling(self, takeover_ms: int) -> int:
+        """Return the number of held seats for which no new idempotency key can run yet.
+
+        ``takeover_ms`` is the time after the start of use in which a key may be known to
+        the seat's last holder.
+        """
+        since = [self.held_since_ms(service, number) for service, number in self._held]
+        wall = self._clock.wall_ms()
+        return sum(ms is None or wall <= ms + takeover_ms for ms in since)
+
     def seats_to_claim(self, service: str, members: int) -> list[int]:
         """Return the seats of a service that this node should claim now.
 
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -293,15 +294,14 @@
     async def wait_until_settled(self, services: dict[str, int], seats: bool = True) -> None:
         """Wait until every node knows ``services[name]`` ready targets of each service.
 
-        With ``seats``, also wait until each node with a target holds a seat.
+        With ``seats``, also wait until the seats of each service are divided evenly between
+        its nodes and new idempotency keys can run at all of them: not while a seat moves.
         """
 
         async def check() -> bool:
-            for name in self.hosts:
-                state = await self.status(name)
-                if not _is_settled(state, services, seats):
-                    return False
-            return True
+            states = [await self.status(name) for name in self.hosts]
+            known = all(_knows_targets(state, services) for state in states)
+            return known and (not seats or _seats_are_settled(states, services))
 
         await self.wait_until("fleet settled", check, 60.0)
 
@@ -317,11 +317,23 @@
         self._processes.clear()
 
 
-def _is_settled(state: dict[str, Any], services: dict[str, int], seats: bool) -> bool:
+def _knows_targets(state: dict[str, Any], services: dict[str, int]) -> bool:
     if not state or state["offset"] == 0:
         return False
     ready = [m["service"] for m in state["members"] if m["state"] == "ready"]
     return all(
         ready.count(service) == count and service in state["versions"]
         for service, count in services.items()
-    ) and bool(state["seats"] or not state["gate"] or not seats)
+    )
+
+
+def _seats_are_settled(states: list[dict[str, Any]], services: Iterable[str]) -> bool:
+    if any(state["seats_settling"] for state in states):
+        return False
+    if any(state["seats_vacant"][name] for state in states for name in services):
+        return False
+    counts: dict[str, list[int]] = {}
+    for state in states:
+        if state["gate"]:
+            counts.setdefault(state["gate"]["service"], []).append(len(state["seats"]))
+    return all(min(held) > 0 and max(held) - min(held) <= 1 for held in counts.values())
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -188,7 +188,7 @@
     Mutant(
         "at most once: a new home does not guess",
         "ledger.py",
-        "        if born <= held_ms + 3 * self._error_ms or born + self._lifetime_ms <= now:\n",
+        "        if born <= held_ms + self._takeover_ms or born + self._lifetime_ms <= now:\n",
         "        if False:\n",
         FLEET + "OnceTest::test_home_killed_gives_unknown_and_never_a_second_run",
     ),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -163,19 +163,53 @@
         self.run_scenario(scenario, key_silence_s=5)
 
 
+class SettledTest(FleetCase):
+    """The other tests begin once keys have homes that do not move any more."""
+
+    async def start(self, fleet):
+        start_node, wait = fleet.start_node, fleet.wait_until_settled
+
+        async def wait_until_settled(services):
+            # The other node of the service has claimed all seats by then.
+            await asyncio.sleep(4.0)
+            start_node("sofia-1b")
+            await wait(services)
+
+        fleet.start_node = lambda name: None if name == "sofia-1b" else start_node(name)
+        fleet.wait_until_settled = wait_until_settled
+        await super().start(fleet)
+
+    def test_a_test_begins_while_seats_move(self):
+        async def scenario():
+            states = [await self.fleet.status(host) for host in PAYERS]
+            self.assertEqual([6, 6], [len(state["seats"]) for state in states])
+            self.assertEqual([0, 0], [state["seats_settling"] for state in states])
+
+        self.run_scenario(scenario)
+
+
 class OnceTest(FleetCase):
     """Non-idempotent requests run at most once."""
 
+    async def start_deposits(self, host):
+        """Start twelve deposits; returns their keys and tasks once each target runs some."""
+        for payer in PAYERS:
+            await self.fleet.set_target_faults(payer, work_ms=1_000)
+        keys = [str(uuid6.uuid7()) for _ in range(12)]
+        tasks = [
+            asyncio.create_task(self.deposit(host, key, f"order-{n}")) for n, key in enumerate(keys)
+        ]
+
+        async def both_run():
+            seen = [await self.fleet.target_counters(payer) for payer in PAYERS]
+            return all(counters["ran"] for counters in seen)
+
+        await self.fleet.wait_until("each target runs deposits", both_run)
+        return keys, tasks
+
     def test_repeat_after_the_entry_was_killed(self):
         async def scenario():
-            for host in PAYERS:
-                await self.fleet.set_target_faults(host, work_ms=400)
-            keys = [str(uuid6.uuid7()) for _ in range(12)]
-            first = [
-                asyncio.create_task(self.deposit("sofia-1a", key, f"order-{n}"))
-                for n, key in enumerate(keys)
-            ]
-            await asyncio.sleep(0.2)
+            keys, first = await self.start_deposits("sofia-1a")
             self.fleet.send_signal("node-sofia-1a", signal.SIGKILL)
             lost = await asyncio.gather(*first)
             self.assertEqual([], [(answer.status, answer.body) for answer in lost if answer.status])
@@ -189,14 +223,7 @@
 
     def test_home_killed_gives_unknown_and_never_a_second_run(self):
         async def scenario():
-            for host in PAYERS:
-                await self.fleet.set_target_faults(host, work_ms=400)
-            keys = [str(uuid6.uuid7()) for _ in range(12)]
-            first = [
-                asyncio.create_task(self.deposit("sofia-2a", key, f"order-{n}"))
-                for n, key in enumerate(keys)
-            ]
-            await asyncio.sleep(0.2)
+            keys, first = await self.start_deposits("sofia-2a")
             self.fleet.send_signal("node-sofia-1b", signal.SIGKILL)
             outcomes = Counter(answer.outcome for answer in await asyncio.gather(*first))
             self.assertEqual({"answered", "unknown"}, set(outcomes))
