Stop: outlive the runs asked for, so that a target's own answer arrives

What callers saw: during a planned stop, a call that its target works on to the end of its time got the node's own 504 in place of the target's, though the target answers at that moment: the request was broken off.

Cause: the caller, the node and the target had the same end of time, so the answer about the deadline always came too late.

Outside of a stop, callers of a target on the same host whose time is over are answered up to 0.05 s later.

--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -362,7 +362,9 @@
         self.refuses_new = False
         """Whether only requests on open routes are accepted: calls of work in progress."""
         self.stop_at = float("inf")
-        """When the node stops running requests, in clock seconds; none gets more time."""
+        """When the node stops waiting for answers, in clock seconds."""
+        self.runs_end_at = float("inf")
+        """When targets must have ended the runs that this node has asked for."""
         self._tasks: set[asyncio.Task[Any]] = set()
         """The tasks of the requests in progress."""
         self._ending = False
@@ -381,7 +383,7 @@
     async def end_requests(self) -> None:
         """Answer the requests in progress, whose outcome is unknown, and accept no more."""
         self._ending = True
-        self.stop_at = self._clock.now()
+        self.stop_at = self.runs_end_at = self._clock.now()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -439,7 +441,7 @@
             )
         is_retry = False
         run_s = min(route.latency_objective_s * STOP_RUN_OBJECTIVES, MAX_STOP_RUN_S)
-        if (self.refuses_new and not route.open) or now + run_s > self.stop_at:
+        if (self.refuses_new and not route.open) or now + run_s > self.runs_end_at:
             return Refusal(request.STOPPING, SHORT_RETRY_AFTER_MS)
         # Requests on an open route need no key; they are calls made by targets, or
         # treated as such.
@@ -464,6 +466,7 @@
         metadata, route, now = pending.metadata, pending.route, pending.now
         name = pending.organisation.name if pending.organisation else ""
         left_s = route.timeout_s if metadata.left_ms < 0 else metadata.left_ms / 1000
+        deadline = now + min(left_s, route.timeout_s)
         return AdmittedRequest(
             route,
             self._split.service(route),
@@ -474,7 +477,8 @@
             name,
             pending.priority,
             now + route.latency_objective_s,
-            min(now + min(left_s, route.timeout_s), self.stop_at),
+            min(deadline, self.runs_end_at),
+            min(deadline, self.stop_at),
             metadata.request_id,
             pending.is_retry,
         )
--- a/beryldrum/mesh/exchange.py
+++ b/beryldrum/mesh/exchange.py
@@ -10,7 +10,11 @@
 
 
 class AdmittedRequest(NamedTuple):
-    """A request that passed the checks at the entry; ``due`` and ``deadline`` are clock seconds."""
+    """A request that passed the checks at the entry.
+
+    ``due``, ``run_until`` and ``deadline`` are clock seconds: the time for an answer in time,
+    the time that its target gets, and the time for which the entry waits.
+    """
 
     route: Route
     service: str
@@ -21,6 +25,7 @@
     organisation: str
     priority: int
     due: float
+    run_until: float
     deadline: float
     request_id: str
     is_retry: bool
@@ -37,7 +42,7 @@
             self.body,
             self.organisation,
             self.priority,
-            max(0, int((self.deadline - now) * 1000)),
+            max(0, int((self.run_until - now) * 1000)),
             int((self.due - now) * 1000),
             self.request_id,
             self.route.idempotent,
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -38,6 +38,9 @@
 MAX_TOLD = 64
 """Statements of other nodes that are kept until their target is known."""
 
+ANSWER_GRACE_S = 0.05
+"""Time after a target's deadline in which its own answer about that is still awaited."""
+
 MIN_RETRY_AFTER_MS = 50
 """Lower bound on the Retry-After of a refusal."""
 
@@ -290,7 +293,7 @@
         try:
             response = await self._pool.request(
                 data,
-                left_s,
+                left_s + ANSWER_GRACE_S,
                 run.request_id.encode("latin-1"),
                 idle_s,
                 run.method == "HEAD",
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -740,7 +740,7 @@
         self._logger.info("stopping", runs=self.target.in_flight, requests=self.entry.in_flight)
         deadline = began + max(0.0, self.cfg.stop_s - KILL_MARGIN_S)
         self.entry.stop_at = deadline - REPLY_MARGIN_S
-        self.target.stop_at = deadline - 2 * REPLY_MARGIN_S
+        self.target.stop_at = self.entry.runs_end_at = deadline - 2 * REPLY_MARGIN_S
         leaving = asyncio.create_task(self._deregister())
         while self.clock.now() < deadline:
             waited = self.clock.now() - began
--- a/beryldrum/standin/endpoint.py
+++ b/beryldrum/standin/endpoint.py
@@ -54,6 +54,7 @@
     - ``unframed``: run, answer without a length and close the connection
     - ``unsigned``: run, answer 200 without the header that marks the target's own answers
     - ``fail``: run, answer 500
+    - ``expire``: work until the time stated in the request is over, then answer 504
     - ``slow``: run, answer after 0.3 s
     """
 
@@ -126,6 +127,10 @@
         if behaviour == "slow":
             await asyncio.sleep(0.3)
         signature = self.notices + "X-Server-Signature: s\r\n"
+        if behaviour == "expire":
+            await asyncio.sleep(int(req.headers["x-deadline-milliseconds"]) / 1000)
+            writer.write(_response(504, request_id, b"expired", signature))
+            return
         response = _response(200, request_id, b"done", signature)
         if behaviour == "cut":
             writer.close()
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -504,7 +504,7 @@
     Mutant(
         "mesh: a stopping node takes what it can finish",
         "mesh/entry.py",
-        " or now + run_s > self.stop_at:\n",
+        " or now + run_s > self.runs_end_at:\n",
         ":\n",
         STOP + "PlannedStopTest",
     ),
@@ -522,6 +522,20 @@
         "        deadline = now + run.left_ms / 1000\n",
         STOP + "PlannedStopTest",
     ),
+    Mutant(
+        "mesh: a target's own answer about its deadline is awaited",
+        "mesh/local_target.py",
+        "                left_s + ANSWER_GRACE_S,\n",
+        "                left_s,\n",
+        STOP + "PlannedStopTest",
+    ),
+    Mutant(
+        "mesh: a stopping node outlives the runs it has asked for",
+        "mesh/entry.py",
+        "            min(deadline, self.runs_end_at),\n",
+        "            min(deadline, self.stop_at),\n",
+        STOP + "PlannedStopTest",
+    ),
 )
 
 
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -119,6 +119,17 @@
             self.assertTrue(pending.done())
             self.assertEqual(504, (await pending).status)
 
+    @parameterized.expand([("of this host", "/inner/1", 0), ("of another", "/called/1", 1)])
+    async def test_a_call_late_in_a_stop_is_answered_before_its_target_is(self, _, path, number):
+        async with Fleet("stock", "shop", stop_s=STOP_S) as fleet:
+            hosts = await fleet.serve(config(routes=(*ROUTES, CALLED)))
+            hosts[number].target.script.append("expire")
+            draining = asyncio.create_task(hosts[0].node.drain())
+            await asyncio.sleep(1.0)
+            response = await hosts[0].ask(path, key="", left_ms=60_000)
+            self.assertEqual((504, b"expired"), (response.status, response.body))
+            await draining
+
     @parameterized.expand([("repeatable", "/list/1", "GET"), ("once only", "/book/1", "POST")])
     async def test_a_target_is_given_longer_than_its_node_runs(self, _, path, method):
         async with Fleet("shop", "stock", stop_s=2.0) as fleet:
