--- a/beryldrum/mesh/conventions.py
+++ b/beryldrum/mesh/conventions.py
@@ -65,12 +65,14 @@
 
     ``rate_limit`` is the number of requests per second that it takes from all hosts
     together, or None if it states none. ``leaving`` tells that it is shutting down.
-    ``problem`` says what could not be read; ``rate_limit`` is unknown then.
+    ``problem`` says what could not be read, and ``limit_readable`` is False if that
+    concerns the limit.
     """
 
     rate_limit: float | None
     leaving: bool
     problem: str = ""
+    limit_readable: bool = True
 
 
 class Deregistration(NamedTuple):
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -330,7 +330,7 @@
                 self._explainer.event(
                     "target statement ignored", target=target.target_id, problem=notice.problem
                 )
-        else:
+        if notice.limit_readable:
             self._apply_limit(notice.rate_limit, handed_at)
         if notice.leaving:
             self._leave("answer")
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -153,12 +153,14 @@
             return None
         if RATE_LIMIT not in response.headers and LEAVING not in response.headers:
             return NOTHING_STATED
-        rates = {value for low, _, value in response.raw_headers if low == RATE_LIMIT}
+        limits = {value for low, _, value in response.raw_headers if low == RATE_LIMIT}
         leaving = {value.strip() for low, _, value in response.raw_headers if low == LEAVING}
-        rate_limit = _requests_per_s(*rates) if len(rates) == 1 else None
-        malformed = (rate_limit is None and rates) or leaving - LEAVING_VALUES
-        problem = f"limit {sorted(rates)}, leaving {sorted(leaving)}" if malformed else ""
-        return TargetNotice(rate_limit, b"1" in leaving, problem)
+        rates = {_requests_per_s(value) for value in limits}
+        rate_limit = rates.pop() if len(rates) == 1 else None
+        limit_readable = rate_limit is not None or not limits
+        readable = limit_readable and leaving <= LEAVING_VALUES
+        problem = "" if readable else f"limit {sorted(limits)}, leaving {sorted(leaving)}"
+        return TargetNotice(rate_limit, b"1" in leaving, problem, limit_readable)
 
     def response_headers(self, response: Response) -> bytes:
         stripped = _headers_to_strip(response.raw_headers)
@@ -218,7 +220,8 @@
 
 def _requests_per_s(value: bytes) -> float | None:
     try:
-        rate = float(value)
+        # Python's digit separators are not part of the format.
+        rate = math.nan if b"_" in value else float(value)
     except ValueError:
         return None
     return rate if math.isfinite(rate) and rate >= 0.0 else None
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -62,13 +62,19 @@
         headers = [*SIGNED.items(), (b"server-leaving", b"1")]
         read = notice(200, headers + [(b"server-limit", value) for value in values])
         self.assertTrue(read.problem)
+        self.assertFalse(read.limit_readable)
         # What can be read counts.
         self.assertTrue(read.leaving)
 
     @parameterized.expand([("yes", b"yes"), ("empty", b"")])
     def test_leaving_that_cannot_be_read(self, _, value):
-        read = notice(200, [*SIGNED.items(), (b"server-leaving", value)])
+        headers = [*SIGNED.items(), (b"server-leaving", value)]
+        read = notice(200, headers)
         self.assertEqual((False, True), (read.leaving, bool(read.problem)))
+        # What can be read counts.
+        self.assertEqual((None, True), (read.rate_limit, read.limit_readable))
+        read = notice(200, [*headers, (b"server-limit", b"3")])
+        self.assertEqual((3.0, True), (read.rate_limit, read.limit_readable))
 
 
 class MetricsTest(unittest.IsolatedAsyncioTestCase):
