Gate: of what peers tell a restarted node, the strictest limit counts

A node that has restarted took the first limit that a peer told, or the last one told before its target was known. Peers' knowledge differs in age: one that still believed that the limit had ended let the gate hand over as many requests as there are slots, until the first answer.

--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -61,6 +61,13 @@
     rate_limit: float | None
     leaving: bool
 
+    def stricter(self, other: "TargetStatus") -> "TargetStatus":
+        """Return the stricter of each statement, where the newer one is not known."""
+        limits = [s.rate_limit for s in (self, other) if s.rate_limit is not None]
+        return TargetStatus(
+            self.incarnation, min(limits, default=None), self.leaving or other.leaving
+        )
+
 
 class Load(msgspec.Struct, array_like=True):
     """The load of a gate. ``service`` is empty where no target accepts work.
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -324,6 +324,7 @@
         current = self._target
         if notice is None or current is None or not current.same_start(target):
             return
+        assert self._gate is not None
         if notice.problem:
             self.notices_ignored += 1
             if self._may_log_statement():
@@ -331,7 +332,9 @@
                     "target statement ignored", target=target.target_id, problem=notice.problem
                 )
         if notice.limit_readable:
-            self._apply_limit(notice.rate_limit, handed_at)
+            before = self.rate_limit
+            if self._gate.stated_limit.update(notice.rate_limit, handed_at):
+                self._limit_changed(before)
         if notice.leaving:
             self._leave("answer")
 
@@ -342,12 +345,10 @@
         self._statement_logged_at = now
         return True
 
-    def _apply_limit(self, rate: float | None, handed_at: float) -> None:
+    def _limit_changed(self, before: float | None) -> None:
         assert self._gate is not None and self._target is not None
-        before = self._gate.stated_limit.rate
-        if not self._gate.stated_limit.update(rate, handed_at):
-            return
         self._stated = True
+        rate = self.rate_limit
         started_or_ended = rate is None or before is None
         if self._may_log_statement() or started_or_ended:
             self._explainer.event(
@@ -373,8 +374,8 @@
 
     def inform(self, status: TargetStatus) -> None:
         """Apply what another node has heard of the target, before this node restarted."""
-        self._told.pop(status.incarnation, None)
-        self._told[status.incarnation] = status
+        earlier = self._told.pop(status.incarnation, status)
+        self._told[status.incarnation] = status.stricter(earlier)
         while len(self._told) > MAX_TOLD:
             del self._told[next(iter(self._told))]
         self._apply_told()
@@ -385,8 +386,9 @@
         status = self._told.pop(self._target.incarnation(), None)
         if status is None:
             return
-        if not self._gate.stated_limit.known:
-            self._apply_limit(status.rate_limit, self._clock.now())
+        before = self.rate_limit
+        if self._gate.stated_limit.inform(status.rate_limit):
+            self._limit_changed(before)
         if status.leaving:
             self._leave("peer")
 
--- a/beryldrum/mesh/stated_limit.py
+++ b/beryldrum/mesh/stated_limit.py
@@ -37,7 +37,7 @@
         self.rate: float | None = None
         """The limit in force, None if there is none."""
         self.known = False
-        """Whether any answer of the target has been seen."""
+        """Whether an answer of the target has been seen."""
         self.stated_at = clock.now()
         """When ``rate`` was last stated, in clock seconds."""
         self._available = 0.0
@@ -63,6 +63,18 @@
         self.rate, self.stated_at = rate, now
         return changed
 
+    def inform(self, rate: float | None) -> bool:
+        """Apply a limit that another node has heard of; returns whether it has changed.
+
+        It counts until an answer has been seen. Of several, which may be of different age,
+        the strictest one counts.
+        """
+        if self.known or rate is None or (self.rate is not None and rate >= self.rate):
+            return False
+        self.update(rate, self._clock.now())
+        self.known = False
+        return True
+
     def delay_s(self, starts: int = 1) -> float:
         """Return the seconds until ``starts`` more requests may have started."""
         if self.rate is None:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -480,6 +480,13 @@
         "                pass\n",
         NOTICES + "RestartTest",
     ),
+    Mutant(
+        "mesh: the strictest limit that a restarted node is told counts",
+        "mesh/stated_limit.py",
+        "        if self.known or rate is None or (self.rate is not None and rate >= self.rate):\n",
+        "        if self.known or self.rate is not None:\n",
+        NOTICES + "RestartTest",
+    ),
     Mutant(
         "mesh: an answer without an id is not the next's",
         "mesh/client.py",
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -9,11 +9,13 @@
 from beryldrum.clock import ManualClock
 from beryldrum.mesh.client import Response
 from beryldrum.mesh.conventions import TargetNotice
+from beryldrum.mesh.frames import TargetStatus
 from beryldrum.mesh.gate import Admission, Gate, RunRequest
 from beryldrum.mesh.stated_limit import StatedLimit
+from beryldrum.mesh.target import READY, Announcement
 from beryldrum.platform.conventions import PlatformAdapter
 
-from .mesh_fleet import KEY, Fleet, call, until
+from .mesh_fleet import KEY, Fleet, call, config, until
 
 SIGNED = {b"x-server-signature": b"s"}
 
@@ -203,6 +205,33 @@
             # Under the limit, one can start each half second, and none waits over a second.
             self.assertLessEqual(len(one.target.arrivals) - before, 2 if status.rate_limit else 0)
 
+    @parameterized.expand(
+        [
+            # limits told in turn, and the limit in force until an answer states one
+            ("none told", [None], None),
+            ("a stale end of a limit first", [None, 5.0], 5.0),
+            ("a stale end of a limit last", [5.0, None], 5.0),
+            ("two limits", [5.0, 2.0, 8.0], 2.0),
+        ]
+    )
+    async def test_a_stale_statement_hides_a_stricter_one(self, _, told, expected):
+        for before_heartbeat in (True, False):
+            async with Fleet("shop") as fleet:
+                (shop,) = fleet.hosts
+                fleet.store.publish(config())
+                target = shop.node.target
+                announced = Announcement("i-0", "shop", shop.cfg.target, "dc0", 4, READY, 1, 0.0, 1)
+                if not before_heartbeat:
+                    target.heartbeat(announced)
+                for rate in told:
+                    target.inform(TargetStatus(announced.incarnation(), rate, False))
+                if before_heartbeat:
+                    target.heartbeat(announced)
+                self.assertEqual(expected, target.rate_limit)
+                await until(lambda node=shop.node: node.configuration.document is not None)
+                self.assertEqual(200, (await shop.ask()).status)
+                self.assertIsNone(target.rate_limit)
+
     async def test_a_target_that_has_deregistered_is_in_use_after_a_restart(self):
         async with Fleet("shop", "shop") as fleet:
             one, two = await fleet.serve()
