--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -452,6 +452,20 @@
         "        if False:\n",
         ADAPTER + "AnnouncedTest",
     ),
+    Mutant(
+        "mesh: a deregistration of an earlier start is late",
+        "mesh/target.py",
+        "        if old is not None and 0 < born_ms < old.born_ms:\n",
+        "        if False:\n",
+        ADAPTER + "AnnouncedTest",
+    ),
+    Mutant(
+        "mesh: peers hear that a target has deregistered",
+        "mesh/local_target.py",
+        "        if self._target is None or not (self._stated or leaving):\n",
+        "        if self._target is None or not self._stated:\n",
+        NOTICES + "RestartTest",
+    ),
     Mutant(
         "mesh: a stated limit is kept at the gate",
         "mesh/gate.py",
