Gate: wake up at once when a limit is raised

What callers saw: with a target that raises its limit, requests queued at the gate, and all that came after them, waited for the turn worked out under the lower limit: up to a second at 1 a second, up to five at none.

Cause: the timer of the next start was kept when the limit changed, and no second one is set beside it. The end of a limit was not affected, as the queue is then started without the timer.

--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -114,9 +114,7 @@
         self._refuse_waiting(request.NO_TARGET)
         if self._pool is not None:
             self._pool.close()
-        if self._dispatch_timer is not None:
-            self._dispatch_timer.cancel()
-            self._dispatch_timer = None
+        self._cancel_dispatch()
         self._stated = False
         self._pool = Pool(announcement.address, self._adapter.request_id_header, self._memory)
         self._gate = Gate(self._clock, announcement.slots)
@@ -357,6 +355,7 @@
                 requests_per_s=rate,
                 before=before,
             )
+        self._cancel_dispatch()
         self._dispatch(self._gate)
         if started_or_ended:
             self._on_change()
@@ -413,6 +412,11 @@
             loop = asyncio.get_running_loop()
             self._dispatch_timer = loop.call_later(delay_s, self._dispatch_delayed, gate)
 
+    def _cancel_dispatch(self) -> None:
+        if self._dispatch_timer is not None:
+            self._dispatch_timer.cancel()
+            self._dispatch_timer = None
+
     def _dispatch_delayed(self, gate: Gate[Waiter]) -> None:
         self._dispatch_timer = None
         self._dispatch(gate)
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -473,6 +473,13 @@
         "        return self.in_flight < self.limit\n",
         NOTICES + "StatedLimitTest",
     ),
+    Mutant(
+        "mesh: requests do not wait for a limit that is over",
+        "mesh/local_target.py",
+        "        self._cancel_dispatch()\n        self._dispatch(self._gate)\n",
+        "        self._dispatch(self._gate)\n",
+        NOTICES + "StatedLimitTest::test_requests_wait_for_a_limit_that_is_over_0_raised",
+    ),
     Mutant(
         "mesh: an older answer does not end a limit",
         "mesh/stated_limit.py",
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -152,6 +152,21 @@
                 self.assertGreater(most, WINDOW_S * 8 / 2)
             self.assertEqual({200, 503}, set(statuses))
 
+    @parameterized.expand([("raised", "Server-Limit: 100\r\n"), ("ended", "")])
+    async def test_requests_wait_for_a_limit_that_is_over(self, _, statement):
+        async with Fleet("stock") as fleet:
+            (stock,) = await fleet.serve()
+            stock.target.notices = "Server-Limit: 1\r\n"
+            await stock.ask("/inner/1", key="")
+            stock.target.notices = statement
+            stock.target.script.append("slow")
+            asking = [asyncio.create_task(stock.ask("/inner/1", key="")) for _number in range(3)]
+            self.assertEqual({200}, {(await task).status for task in asking})
+            # The second answer, 0.3 s after its request, tells of the change.
+            _, second, third, fourth = stock.target.arrivals
+            self.assertGreaterEqual(second - stock.target.arrivals[0], 0.9)
+            self.assertLess(max(third, fourth) - second, 0.3 + 0.2)
+
     @parameterized.expand([("repeatable", "/list/1", "GET"), ("once only", "/book/1", "POST")])
     async def test_a_leaving_target_gets_new_work_though_its_answers_say_so(self, _, path, method):
         async with Fleet("shop", "shop") as fleet:
