Gate: pass on the start of a request that was cancelled

What callers saw: under a stated limit of a few requests a second, a caller that left in the very step of the event loop in which its queued request came to its turn took that turn with it, and nothing woke the queue again: what waited there, and all that came after it, stayed until its deadline. A node that was paused handles timers and closed connections in one step, so that this is not as rare as it sounds.

Cause: the start is given back to the gate, but the next one was only looked for at the end of a run, or by a timer that is not set while a start is free. Without a limit another run's end nearly always follows; under a low limit there is often none.

--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -392,15 +392,20 @@
             self._leave("peer")
 
     def _dispatch(self, gate: Gate[Waiter]) -> None:
-        started, refused = gate.dequeue()
-        for waiter in started:
-            if waiter.done():
-                gate.abandon()
-            else:
-                waiter.set_result(None)
-        for waiter, reason in refused:
-            if not waiter.done():
-                waiter.set_result(reason)
+        abandoned = True
+        while abandoned:
+            started, refused = gate.dequeue()
+            abandoned = False
+            for waiter in started:
+                if waiter.done():
+                    # Its start is free for the next one in the queue.
+                    gate.abandon()
+                    abandoned = True
+                else:
+                    waiter.set_result(None)
+            for waiter, reason in refused:
+                if not waiter.done():
+                    waiter.set_result(reason)
         self._schedule_dispatch(gate)
 
     def _schedule_dispatch(self, gate: Gate[Waiter]) -> None:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -480,6 +480,13 @@
         "        self._dispatch(self._gate)\n",
         NOTICES + "StatedLimitTest::test_requests_wait_for_a_limit_that_is_over_0_raised",
     ),
+    Mutant(
+        "mesh: requests do not wait behind one that was cancelled",
+        "mesh/local_target.py",
+        "                    abandoned = True\n",
+        "                    pass\n",
+        NOTICES + "StatedLimitTest",
+    ),
     Mutant(
         "mesh: an older answer does not end a limit",
         "mesh/stated_limit.py",
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -1,6 +1,7 @@
 """What a target states about itself in its answers: its rate limit, and that it leaves."""
 
 import asyncio
+import time
 import unittest
 
 from parameterized import parameterized
@@ -9,8 +10,8 @@
 from beryldrum.clock import ManualClock
 from beryldrum.mesh.client import Response
 from beryldrum.mesh.conventions import TargetNotice
-from beryldrum.mesh.frames import TargetStatus
-from beryldrum.mesh.gate import Admission, Gate, RunRequest
+from beryldrum.mesh.frames import Run, TargetStatus
+from beryldrum.mesh.gate import CALL_PRIORITY, Admission, Gate, RunRequest
 from beryldrum.mesh.stated_limit import StatedLimit
 from beryldrum.mesh.target import READY, Announcement
 from beryldrum.platform.conventions import PlatformAdapter
@@ -124,6 +125,31 @@
     return [(await task).status for task in asking]
 
 
+def inner_run(request_id):
+    """Return a run of the route ``inner`` as another node asks for it."""
+    head = f"X-Request-Id: {request_id}\r\n".encode()
+    return Run(
+        sequence=0,
+        service="stock",
+        method="GET",
+        path="/inner/1",
+        head=head,
+        body=b"",
+        organisation="",
+        priority=CALL_PRIORITY,
+        left_ms=3000,
+        due_ms=3000,
+        request_id=request_id,
+        idempotent=True,
+        route="inner",
+    )
+
+
+def pause(seconds):
+    """Block the event loop, as a pause of the process does."""
+    time.sleep(seconds)
+
+
 class StatedLimitTest(unittest.IsolatedAsyncioTestCase):
     """A target gets no more requests than the rate limit that it states in its answers."""
 
@@ -167,6 +193,22 @@
             self.assertGreaterEqual(second - stock.target.arrivals[0], 0.9)
             self.assertLess(max(third, fourth) - second, 0.3 + 0.2)
 
+    async def test_requests_wait_behind_one_that_was_cancelled(self):
+        async with Fleet("stock") as fleet:
+            (stock,) = await fleet.serve()
+            stock.target.notices = "Server-Limit: 2\r\n"
+            await stock.ask("/inner/1", key="")
+            names = ("cancelled", "waiting")
+            tasks = [asyncio.create_task(stock.node.target.run(inner_run(name))) for name in names]
+            await asyncio.sleep(0.05)
+            # The cancellation and the next start are due in the same step of the event loop.
+            pause(1 / 2)
+            asyncio.get_running_loop().call_soon(tasks[0].cancel)
+            async with asyncio.timeout(1.0):
+                cancelled, waiting = await asyncio.gather(*tasks, return_exceptions=True)
+            self.assertIsInstance(cancelled, asyncio.CancelledError)
+            self.assertEqual(200, waiting.status)
+
     @parameterized.expand([("repeatable", "/list/1", "GET"), ("once only", "/book/1", "POST")])
     async def test_a_leaving_target_gets_new_work_though_its_answers_say_so(self, _, path, method):
         async with Fleet("shop", "shop") as fleet:
