Harness: ports that no other run hands out

A port was looked up as free and bound later, so that two runs, or a soak beside the tests, could choose the same one: with 40 to 50 ports each that is one pair of runs in ten.

--- a/bench/passes.py
+++ b/bench/passes.py
@@ -20,7 +20,7 @@
 from aiohttp import web
 
 from beryldrum.standin.platform import PlatformStandin
-from harness.fleet import free_port
+from harness.ports import free_port
 
 __all__ = ["main"]
 
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -1,16 +1,12 @@
 """A small fleet of processes on loopback: a log, nodes and targets.
 
-Processes are signalled and stopped by process id, never by name. Ports are chosen at
-random for each fleet.
+Processes are signalled and stopped by process id, never by name.
 """
 
 import asyncio
-import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -22,37 +18,14 @@
 import aiohttp
 import yaml
 
-__all__ = ["Answer", "Fleet", "Host", "free_port"]
+from .ports import free_address
+
+__all__ = ["Answer", "Fleet", "Host"]
 
-PORT_RANGE = (12_000, 32_000)
-RNG = random.SystemRandom()
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
 
-_allocated_ports: set[int] = set()
-
-
-def free_port() -> int:
-    """Return a port that is currently free.
-
-    It lies below the kernel's ephemeral port range: otherwise an outgoing connection
-    could take the port before the process that it is meant for binds it.
-    """
-    while True:
-        port = RNG.randrange(*PORT_RANGE)
-        if port in _allocated_ports:
-            continue
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            _allocated_ports.add(port)
-            return port
-
-
-def free_address() -> str:
-    """Return a loopback address with a free port, as ``host:port``."""
-    return f"127.0.0.1:{free_port()}"
-
 
 class Host(NamedTuple):
     """The addresses of a host's node and target; ``target`` is empty if it has none."""
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -17,7 +17,7 @@
 from aiohttp import web
 
 from beryldrum.standin.platform import PlatformStandin, StoreFaults
-from harness.fleet import free_port
+from harness.ports import free_address
 
 from .caller import VIRTUAL_HOST, Caller, Connection
 from .checker import Checker
@@ -37,21 +37,17 @@
 """Time after the last fault by which service must have recovered."""
 
 
-def _free_address() -> str:
-    return f"127.0.0.1:{free_port()}"
-
-
 class Host:
     """The addresses, node process and readiness of one host."""
 
     def __init__(self, name: str, service: str, folder: Path) -> None:
         self.name, self.service = name, service
         self.folder = folder
-        self.cfg = {field: _free_address() for field in ("outbound", "nodes", "ready", "control")}
+        self.cfg = {field: free_address() for field in ("outbound", "nodes", "ready", "control")}
         self.cfg |= {
-            "target": _free_address(),
-            "advertised": _free_address(),
-            "store": _free_address(),
+            "target": free_address(),
+            "advertised": free_address(),
+            "store": free_address(),
         }
         self.process: subprocess.Popen[bytes] | None = None
         self.killed_at: list[float] = []
@@ -119,7 +115,7 @@
         """
         self._runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
         await self._runner.setup()
-        store_address = _free_address()
+        store_address = free_address()
         await web.TCPSite(self._runner, "127.0.0.1", int(store_address.rpartition(":")[2])).start()
         self.publish()
         names = {host.cfg["advertised"]: host.name for host in self.hosts}
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -43,4 +43,17 @@
         "285 requests executed in 5 s where 284 are allowed: a node that has just started in a "
         "large fleet knows few peers, and used the rate shares of those it did not know yet",
     ),
+    Case(
+        401,
+        12.0,
+        6,
+        "a target got the readiness probes of a node of seed 414, which ran at the same time: "
+        "two runs had chosen the same port",
+    ),
+    Case(
+        414,
+        12.0,
+        6,
+        "a node could not bind the port that a target of seed 401 had; the same cause",
+    ),
 )
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -15,7 +15,7 @@
 from beryldrum.platform.store import PlatformStore
 from beryldrum.standin.endpoint import EndpointStandin
 from beryldrum.standin.platform import PlatformStandin
-from harness.fleet import free_port
+from harness.ports import free_port
 
 HOST = "shop.example"
 KEY = "k-1"
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -21,7 +21,7 @@
 from beryldrum.records import LogRecord
 from beryldrum.request import Outcome, Reply
 from beryldrum.target import Target, TargetClient, forwarded
-from harness.fleet import free_address, free_port
+from harness.ports import free_address, free_port
 
 from .fakes import request
 
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -13,7 +13,7 @@
 from beryldrum.mesh.client import Pool
 from beryldrum.platform.store import PlatformStore
 from beryldrum.standin.platform import PlatformStandin
-from harness.fleet import free_port
+from harness.ports import free_port
 
 from .mesh_fleet import HOST, KEY, ROUTES, Fleet, config, route, until
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -25,7 +25,7 @@
 from beryldrum.peer import Peer, PeerServer
 from beryldrum.request import Outcome, Reply
 from beryldrum.settings import Tls
-from harness.fleet import free_address
+from harness.ports import free_address
 
 
 class PeerTest(TestCase):
