--- a/harness/ports.py
+++ b/harness/ports.py
@@ -33,6 +33,7 @@
 
     def __init__(self) -> None:
         self._reservations: list[socket.socket] = []
+        """Sockets that keep the blocks of this allocator from others."""
         self._ports = self._reserved_ports()
 
     def free_port(self) -> int:
@@ -61,12 +62,6 @@
         self._reservations.append(sock)
         return True
 
-    def close(self) -> None:
-        """Give up all blocks."""
-        for sock in self._reservations:
-            sock.close()
-        self._reservations.clear()
-
 
 def _is_free(port: int) -> bool:
     with socket.socket() as sock, contextlib.suppress(OSError):
