--- a/beryldrum/mesh/client.py
+++ b/beryldrum/mesh/client.py
@@ -13,7 +13,7 @@
 
 from ..errors import AnswerLostError, TargetUnreachedError
 from .deadlines import Deadlines
-from .http import Header, MemoryBudget
+from .http import HEADER_OVERHEAD_BYTES, Header, MemoryBudget
 
 __all__ = ["Pool", "Response"]
 
@@ -48,6 +48,10 @@
         return self.headers.get(name, b"")
 
 
+class _MemoryExhaustedError(Exception):
+    """The headers of an answer need more memory than there is."""
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection to a target or to the store that carries one request at a time.
 
@@ -58,6 +62,8 @@
         self._id_header = request_id_header
         self._memory = memory
         self._reserved = 0
+        """Bytes reserved in the memory budget for the answer to the current request."""
+        self._received = 0
         """Bytes received for the current request."""
         self._head_bytes = 0
         self._in_body = False
@@ -77,7 +83,8 @@
     def _reset(self) -> None:
         self._raw_headers: list[Header] = []
         self._headers: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        # One buffer, since a list of pieces can take many times the bytes received.
+        self._body = bytearray()
         self._framed = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -98,6 +105,7 @@
         assert self._transport is not None
         self._request_id = request_id
         self._requests += 1
+        self._received = 0
         self._head_bytes = 0
         self._in_body = False
         self._head_only = head_only
@@ -110,7 +118,7 @@
             # Without a request pending, the next answer might not match its request.
             self.abort()
             return
-        if not self._reserve(len(data)):
+        if not self._count(len(data)):
             return
         try:
             self._parser.feed_data(data)
@@ -119,22 +127,28 @@
         except httptools.HttpParserError as exc:
             self._fail(type(exc).__name__)
 
-    def _reserve(self, size: int) -> bool:
-        """Reserve ``size`` more bytes of an answer; on False the request has failed."""
-        if self._reserved + size > MAX_RESPONSE_BYTES:
+    def _count(self, size: int) -> bool:
+        """Count ``size`` more bytes of an answer; on False the request has failed."""
+        if self._received + size > MAX_RESPONSE_BYTES:
             self._fail("response too long")
         elif not self._in_body and self._head_bytes > MAX_HEAD_BYTES:
             # The bytes received so far do not contain the end of the headers.
             self._fail("response headers too long")
-        elif self._memory is not None and not self._memory.reserve(size):
+        elif not self._reserve(size):
             self._fail("response memory exhausted")
         else:
-            self._reserved += size
+            self._received += size
             if not self._in_body:
                 self._head_bytes += size
             return True
         return False
 
+    def _reserve(self, size: int) -> bool:
+        if self._memory is not None and not self._memory.reserve(size):
+            return False
+        self._reserved += size
+        return True
+
     def _release(self) -> None:
         if self._memory is not None:
             self._memory.release(self._reserved)
@@ -154,6 +168,8 @@
         fut, self._fut = self._fut, None
         if fut is not None and not fut.done():
             fut.set_exception(AnswerLostError(reason))
+        # The connection and its parser form a reference cycle.
+        self._reset()
         self.abort()
 
     def on_message_begin(self) -> None:
@@ -162,6 +178,8 @@
         self._reset()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._reserve(HEADER_OVERHEAD_BYTES):
+            raise _MemoryExhaustedError
         low = name.lower()
         self._raw_headers.append((low, name, value))
         self._headers[low] = value
@@ -176,7 +194,7 @@
             self._deliver_last()
 
     def on_body(self, body: bytes) -> None:
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
@@ -214,8 +232,9 @@
         self.used_at = time.monotonic()
         if fut is not None and not fut.done():
             status = self._parser.get_status_code()
-            body = b"".join(self._body)
+            body = bytes(self._body)
             fut.set_result(Response(status, self._raw_headers, self._headers, body))
+        self._reset()
 
     def abort(self) -> None:
         """Close the connection without flushing its buffer."""
--- a/beryldrum/mesh/http.py
+++ b/beryldrum/mesh/http.py
@@ -16,6 +16,7 @@
 from .document import Limits
 
 __all__ = [
+    "HEADER_OVERHEAD_BYTES",
     "SINGLETON_HEADERS",
     "Header",
     "HttpListener",
@@ -29,6 +30,9 @@
 SWEEP_INTERVAL_S = 1.0
 """Interval between checks for idle connections."""
 
+HEADER_OVERHEAD_BYTES = 512
+"""Memory that a header takes in addition to its text: the objects that hold it."""
+
 MAX_PIPELINED = 16
 """Pipelined requests queued on one connection before reading from it is paused."""
 
@@ -108,7 +112,7 @@
 
 
 class MemoryBudget:
-    """Bounds the bytes of request bodies, or of answers, that are in memory at once."""
+    """Bounds the bytes of requests, or of answers, that are in memory at once."""
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
@@ -134,6 +138,14 @@
         self.status = status
 
 
+class _QueuedRequest(NamedTuple):
+    """A complete request, whether the connection is kept, and the bytes reserved for it."""
+
+    http_request: HttpRequest
+    keep_alive: bool
+    reserved: int
+
+
 class ServerConnection(asyncio.Protocol):
     """A client's connection. Its requests are answered in order, one at a time."""
 
@@ -142,11 +154,12 @@
         self._service = listener.service
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queue: deque[tuple[HttpRequest, bool]] = deque()
+        self._queue: deque[_QueuedRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._refused = 0
         self._paused = False
         self._reserved = 0
+        """Bytes reserved in the memory budget for all requests of the connection."""
         self.active_at = time.monotonic()
         self._reset()
 
@@ -156,8 +169,10 @@
         self._headers: dict[bytes, bytes] = {}
         self._head_bytes = 0
         self._limits = self._service.limits()
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer, since a list of pieces can take many times the bytes received.
+        self._body = bytearray()
+        self._request_reserved = 0
+        """The part of the reserved bytes that belongs to the request that is being read."""
         self.reading = False
 
     # Callbacks of the transport.
@@ -172,6 +187,8 @@
         self._listener.memory.release(self._reserved)
         self._reserved = 0
         self._queue.clear()
+        # The connection and its parser form a reference cycle.
+        self._reset()
         if self._task is not None:
             self._task.cancel()
 
@@ -196,6 +213,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_head(len(name) + len(value) + 4)
+        self._reserve(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
         low = name.lower()
         self._raw_headers.append((low, name, value))
         if low in self._headers and low in self._service.singleton_headers:
@@ -215,13 +233,16 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > self._limits.body_bytes:
+        if len(self._body) + len(body) > self._limits.body_bytes:
             raise _RefusalError(413)
-        if not self._listener.memory.reserve(len(body)):
+        self._reserve(len(body))
+        self._body += body
+
+    def _reserve(self, size: int) -> None:
+        if not self._listener.memory.reserve(size):
             raise _RefusalError(503)
-        self._reserved += len(body)
-        self._body.append(body)
+        self._reserved += size
+        self._request_reserved += size
 
     def on_message_complete(self) -> None:
         http_request = HttpRequest(
@@ -229,10 +250,11 @@
             self._url.decode("latin-1"),
             self._headers,
             self._raw_headers,
-            b"".join(self._body),
+            bytes(self._body),
         )
-        self.reading = False
-        self._queue.append((http_request, self._parser.should_keep_alive()))
+        keep_alive, reserved = self._parser.should_keep_alive(), self._request_reserved
+        self._queue.append(_QueuedRequest(http_request, keep_alive, reserved))
+        self._reset()
         if self._task is None:
             self._serve_next()
         elif len(self._queue) >= MAX_PIPELINED and self._transport:
@@ -244,10 +266,10 @@
     def _serve_next(self) -> None:
         if not self._queue or self._transport is None:
             return
-        http_request, keep_alive = self._queue.popleft()
-        self._task = asyncio.create_task(self._serve(http_request, keep_alive))
+        self._task = asyncio.create_task(self._serve(self._queue.popleft()))
 
-    async def _serve(self, http_request: HttpRequest, keep_alive: bool) -> None:
+    async def _serve(self, queued: _QueuedRequest) -> None:
+        http_request = queued.http_request
         try:
             response = await self._service.handle(http_request)
         except asyncio.CancelledError:
@@ -258,11 +280,12 @@
             response = HttpResponse(500, close=True)
         finally:
             self._task = None
-            if self._reserved and http_request.body:
-                self._listener.memory.release(len(http_request.body))
-                self._reserved -= len(http_request.body)
+            if self._transport is not None:
+                # Otherwise all was released when the connection was lost.
+                self._listener.memory.release(queued.reserved)
+                self._reserved -= queued.reserved
         self.active_at = time.monotonic()
-        close = response.close or not keep_alive or self._service.closing()
+        close = response.close or not queued.keep_alive or self._service.closing()
         self._write(response, close, http_request.method == "HEAD")
         if not close and self._transport and self._queue:
             if self._paused:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -44,6 +44,7 @@
 NOTICES = "tests/test_target_notices.py::"
 KEPT = "tests/test_mesh_kept_connections.py::"
 STOP = "tests/test_mesh_stop.py::"
+MEMORY = "tests/test_mesh_memory.py::"
 MUTANTS = (
     Mutant(
         "retries stay bounded end to end",
@@ -571,6 +572,20 @@
         "            min(deadline, self.stop_at),\n",
         STOP + "PlannedStopTest",
     ),
+    Mutant(
+        "mesh: what was read of an answer is dropped with it",
+        "mesh/client.py",
+        "        # The connection and its parser form a reference cycle.\n        self._reset()\n",
+        "",
+        MEMORY + "AnswerMemoryTest",
+    ),
+    Mutant(
+        "mesh: small headers are counted with their objects",
+        "mesh/client.py",
+        "        if not self._reserve(HEADER_OVERHEAD_BYTES):\n",
+        "        if False:\n",
+        MEMORY + "AnswerMemoryTest",
+    ),
 )
 
 
