--- a/beryldrum/mesh/document.py
+++ b/beryldrum/mesh/document.py
@@ -60,7 +60,11 @@
 
 
 class FleetDocument:
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    ``requires_keys`` tells whether requests need an API key, except on open routes. It does
+    not follow from ``organisations``, which is also empty when no key is left.
+    """
 
     def __init__(
         self,
@@ -68,6 +72,7 @@
         routes: tuple[Route, ...],
         services: frozenset[str],
         organisations: dict[str, Organisation],
+        requires_keys: bool,
         limits: Limits,
     ) -> None:
         self.version = version
@@ -75,16 +80,12 @@
         self.services = services
         self.organisations = organisations
         """Organisations by API key; one may have several keys."""
+        self.requires_keys = requires_keys
         self.limits = limits
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, {})[route.prefix] = route
 
-    @property
-    def requires_keys(self) -> bool:
-        """Whether requests need an API key, except on open routes."""
-        return bool(self.organisations)
-
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` whose prefix is the longest match, or None.
 
--- a/beryldrum/platform/documents.py
+++ b/beryldrum/platform/documents.py
@@ -42,7 +42,8 @@
     version: int
     routes: _Table
     services: _Table
-    tenants: _Table = msgspec.field(default_factory=lambda: _Table([], []))
+    tenants: _Table | msgspec.UnsetType = msgspec.UNSET
+    """Not set where requests need no key; without a row, no key is valid."""
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -87,18 +88,15 @@
     row whose length differs from the columns or a route without a service.
     """
     cfg = _decoder.decode(text)
-    organisations: dict[str, Organisation] = {}
-    for record in cfg.tenants.records():
-        row = msgspec.convert(record, _Organisation)
-        org = Organisation(row.name, row.priority, row.requests_per_s, row.burst)
-        organisations.update(dict.fromkeys(row.api_keys, org))
+    tenants = cfg.tenants if isinstance(cfg.tenants, _Table) else None
     services = [msgspec.convert(record, _Service) for record in cfg.services.records()]
     limits = cfg.limits
     return FleetDocument(
         cfg.version,
         tuple(_route(msgspec.convert(record, _Route)) for record in cfg.routes.records()),
         frozenset(row.name for row in services),
-        organisations,
+        _organisations(tenants) if tenants else {},
+        tenants is not None,
         Limits(
             limits.max_header_bytes,
             limits.max_body_bytes,
@@ -108,6 +106,16 @@
     )
 
 
+def _organisations(tenants: _Table) -> dict[str, Organisation]:
+    found: dict[str, Organisation] = {}
+    for record in tenants.records():
+        row = msgspec.convert(record, _Organisation)
+        org = Organisation(row.name, row.priority, row.requests_per_s, row.burst)
+        # A request without a key has an empty one.
+        found.update((key, org) for key in row.api_keys if key)
+    return found
+
+
 def _route(row: _Route) -> Route:
     weighted = tuple(WeightedService(part.service, part.weight) for part in row.weighted_services)
     if not weighted and not row.service:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -586,6 +586,13 @@
         "        if False:\n",
         MEMORY + "AnswerMemoryTest",
     ),
+    Mutant(
+        "mesh: without a key left, no key is valid",
+        "platform/documents.py",
+        "        tenants is not None,\n",
+        "        bool(tenants and _organisations(tenants)),\n",
+        REQUESTS + "test_the_last_key_withdrawn_opens_all_routes_0_its_tenant_stays",
+    ),
 )
 
 
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 import unittest
 
 from aiohttp import web
@@ -15,7 +16,7 @@
 from beryldrum.standin.platform import PlatformStandin
 from harness.ports import free_port
 
-from .mesh_fleet import HOST, KEY, ROUTES, Fleet, config, route, until
+from .mesh_fleet import HOST, KEY, ROUTES, Fleet, config, route, table, until
 
 SIGNATURE = b"s"
 
@@ -246,6 +247,30 @@
             self.assertEqual(401, (await shop.ask(key=KEY)).status)
             self.assertEqual(200, (await shop.ask(key="k-3")).status)
 
+    @parameterized.expand(
+        [
+            ("its tenant stays", {"name": "mart", "api_keys": []}),
+            ("an empty key is left", {"name": "mart", "api_keys": [""]}),
+            ("no tenant is left",),
+        ]
+    )
+    async def test_the_last_key_withdrawn_opens_all_routes(self, _, *tenants):
+        async with Fleet("shop", "stock") as fleet:
+            shop, stock = await fleet.serve()
+            self.assertEqual(200, (await stock.ask()).status)
+            closed = json.loads(config(version=2)) | {"tenants": table(*tenants)}
+            fleet.store.publish(json.dumps(closed).encode())
+            for host in (shop, stock):
+                await until(lambda host=host: host.node.configuration.version == 2)
+            for host in (shop, stock):
+                for path, method in (("/list/1", "GET"), ("/book/1", "POST")):
+                    for key in (KEY, "never", ""):
+                        response = await host.ask(path, method, key=key)
+                        self.assertEqual(401, response.status, (path, key))
+                self.assertTrue(host.node.ready())
+            self.assertEqual(200, (await stock.ask("/inner/1", key="")).status)
+            self.assertEqual(1, len(shop.target.runs))
+
     async def test_configurations_spread_between_nodes_when_the_store_serves_one(self):
         async with Fleet("shop", "shop") as fleet:
             one, two = await fleet.serve()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,7 +18,7 @@
 from beryldrum.platform.documents import decode
 from beryldrum.platform.store import _parse_records
 
-from .mesh_fleet import config, route
+from .mesh_fleet import config, route, table
 
 ADAPTER = PlatformAdapter()
 INFORMATION = {"service": "shop", "zone": "dc0", "slots": 4}
@@ -156,6 +156,24 @@
         self.assertEqual([("shop", 9.0), ("stock", 1.0)], list(deep.service_weights))
         self.assertFalse(doc.route("shop.example", "/a/").idempotent)
 
+    @parameterized.expand(
+        [
+            ("no tenants stated", None, False, []),
+            ("no tenant left", [], True, []),
+            ("tenants without a key", [{"name": "mart", "api_keys": []}, {"name": "b"}], True, []),
+            ("keys that are omitted", [{"name": "mart", "api_keys": None}], True, []),
+            ("an empty key", [{"name": "mart", "api_keys": [""]}], True, []),
+            ("a key left", [{"name": "a"}, {"name": "b", "api_keys": ["k", ""]}], True, ["k"]),
+        ]
+    )
+    def test_the_last_key_withdrawn_opens_all_routes(self, _, tenants, required, keys):
+        value = json.loads(config())
+        value.pop("tenants")
+        if tenants is not None:
+            value["tenants"] = table(*tenants)
+        doc = decode(json.dumps(value).encode())
+        self.assertEqual((required, keys), (doc.requires_keys, list(doc.organisations)))
+
     def test_organisations(self):
         doc = decode(config(rate=5, burst=7, keys=("a", "b")))
         self.assertEqual(doc.organisations["a"], doc.organisations["b"])
