--- a/beryldrum/mesh/graph.py
+++ b/beryldrum/mesh/graph.py
@@ -5,10 +5,14 @@
 calls do not carry a mark of their run, a node compares the number of runs of each route
 that its target began with the number of calls that it made, window by window, and
 attributes the calls to routes by non-negative least squares.
+
+Only the busiest routes are learnt one by one. The others of a service are learnt as one,
+its group, so that neither the work nor the messages between nodes grow with the routes.
 """
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from operator import mul
 
 from ..clock import Clock
 from .document import Route
@@ -21,24 +25,65 @@
 DECAY = 0.97
 """Weight that earlier windows keep when one is added: half after some 12 s."""
 
+MIN_TOTAL = 0.01
+"""Value below which decayed counts and products are dropped."""
+
 UPDATE_STEPS = 8
 """Steps of the multiplicative update per window, starting from the previous weights."""
 
 MIN_CALLS_PER_RUN = 0.3
 """Calls per run above which a route is taken to need the called route's service."""
 
+MAX_ROUTES = 16
+"""Number of routes run, and of routes called, that a node learns one by one."""
+
+GROUP_PREFIX = "*"
+"""Begins the name of a group, which ends with its service."""
+
 Pair = tuple[str, str]
 
 
+class _BusiestRoutes:
+    """The routes with the highest decaying counts, ``MAX_ROUTES`` at most."""
+
+    def __init__(self) -> None:
+        self.totals: dict[str, float] = {}
+        self._names: set[str] = set()
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._names
+
+    def update(self, counts: Mapping[str, float]) -> set[str]:
+        """Add the counts of a window; returns the routes that are no longer among the busiest."""
+        _decay(self.totals)
+        for name, count in counts.items():
+            self.totals[name] = self.totals.get(name, 0.0) + count
+        before, self._names = self._names, set(self.totals)
+        if len(self.totals) > MAX_ROUTES:
+            # A route is displaced only by one that is twice as busy, so that few change.
+            rank = {n: total * (2.0 if n in before else 1.0) for n, total in self.totals.items()}
+            self._names = set(sorted(rank, key=rank.__getitem__)[-MAX_ROUTES:])
+        return before - self._names
+
+
+def _decay(table: dict[str, float] | dict[Pair, float]) -> None:
+    """Reduce all values, and drop those that have become negligible."""
+    kept = {key: value * DECAY for key, value in table.items() if value * DECAY >= MIN_TOTAL}
+    table.clear()
+    table.update(kept)  # type: ignore[arg-type]
+
+
 class CallGraph:
-    """Calls per run, by the route run at this node and the route called."""
+    """Calls per run, by the route run at this node and the route called, or their groups."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._window_start = clock.now()
         self._runs: Counter[str] = Counter()
         self._calls: Counter[str] = Counter()
-        self._run_totals: dict[str, float] = {}
+        self._marked: Counter[Pair] = Counter()
+        self._run_routes = _BusiestRoutes()
+        self._called_routes = _BusiestRoutes()
         self._marked_calls: dict[Pair, float] = {}
         self._run_products: dict[Pair, float] = {}
         self._call_products: dict[Pair, float] = {}
@@ -62,7 +107,7 @@
         ``run`` is the route of the run that makes it, or empty if not known.
         """
         if run:
-            self._marked_calls[run, route] = self._marked_calls.get((run, route), 0.0) + 1.0
+            self._marked[run, route] += 1
         else:
             self._calls[route] += 1
 
@@ -100,22 +145,52 @@
         return {edge: w / reporters[edge.partition(">")[0]] for edge, w in sums.items()}
 
     def _learn(self) -> None:
-        runs, calls = self._runs, self._calls
-        self._runs, self._calls = Counter(), Counter()
+        runs, calls, marked = self._runs, self._calls, self._marked
+        self._runs, self._calls, self._marked = Counter(), Counter(), Counter()
+        called = calls.copy()
+        for (_, route), count in marked.items():
+            called[route] += count
         for table in (self._run_products, self._call_products, self._marked_calls):
-            for pair in table:
-                table[pair] *= DECAY
-        for route in self._run_totals.keys() | runs.keys():
-            self._run_totals[route] = self._run_totals.get(route, 0.0) * DECAY + runs[route]
+            _decay(table)
+        self._merge_into_groups(self._run_routes.update(runs), self._called_routes.update(called))
+        for (run, route), count in marked.items():
+            pair = (self._name(run, self._run_routes), self._name(route, self._called_routes))
+            self._marked_calls[pair] = self._marked_calls.get(pair, 0.0) + count
         if self._marked_calls:
+            totals = self._grouped(self._run_routes.totals, self._run_routes)
             self._weights = {
-                (run, called): count / max(1.0, self._run_totals.get(run, 0.0))
-                for (run, called), count in self._marked_calls.items()
+                (run, route): count / max(1.0, totals.get(run, 0.0))
+                for (run, route), count in self._marked_calls.items()
             }
         elif calls or self._call_products:
-            self._fit(runs, calls)
+            self._fit(
+                self._grouped(runs, self._run_routes), self._grouped(calls, self._called_routes)
+            )
+
+    def _group(self, route: str) -> str:
+        return GROUP_PREFIX + self._services.get(route, "")
+
+    def _name(self, route: str, busiest: _BusiestRoutes) -> str:
+        return route if route in busiest else self._group(route)
+
+    def _grouped(self, counts: Mapping[str, float], busiest: _BusiestRoutes) -> dict[str, float]:
+        """Return the counts of the busiest routes, and of the groups of the others."""
+        return _renamed(counts, {route: self._name(route, busiest) for route in counts})
+
+    def _merge_into_groups(self, runs: set[str], called: set[str]) -> None:
+        """Add what is known of routes to that of their groups.
 
-    def _fit(self, runs: Counter[str], calls: Counter[str]) -> None:
+        Sums and products of counts are additive, so nothing is lost by it.
+        """
+        if not runs and not called:
+            return
+        run_names = {route: self._group(route) for route in runs}
+        called_names = {route: self._group(route) for route in called}
+        self._run_products = _renamed_pairs(self._run_products, run_names, run_names)
+        self._call_products = _renamed_pairs(self._call_products, run_names, called_names)
+        self._marked_calls = _renamed_pairs(self._marked_calls, run_names, called_names)
+
+    def _fit(self, runs: Mapping[str, float], calls: Mapping[str, float]) -> None:
         """Fit the weights by non-negative least squares with multiplicative updates."""
         for one, count in runs.items():
             for two, other in runs.items():
@@ -124,20 +199,25 @@
             for called, times in calls.items():
                 pair = (one, called)
                 self._call_products[pair] = self._call_products.get(pair, 0.0) + count * times
-        for _ in range(UPDATE_STEPS):
-            self._weights = {
-                (one, called): self._updated_weight(one, called, product)
-                for (one, called), product in self._call_products.items()
+        names = sorted({one for pair in self._run_products for one in pair})
+        products = {
+            one: [self._run_products.get((one, two), 0.0) for two in names] for one in names
+        }
+        weights: dict[Pair, float] = {}
+        for called in {called for _, called in self._call_products}:
+            column = [self._weights.get((one, called), 1.0) for one in names]
+            targets = [self._call_products.get((one, called), 0.0) for one in names]
+            for _ in range(UPDATE_STEPS):
+                column = [
+                    _updated_weight(old, target, sum(map(mul, products[one], column)))
+                    for one, old, target in zip(names, column, targets, strict=True)
+                ]
+            weights |= {
+                (one, called): weight
+                for one, weight, target in zip(names, column, targets, strict=True)
+                if target > 0.0
             }
-
-    def _updated_weight(self, one: str, called: str, call_product: float) -> float:
-        old = self._weights.get((one, called), 1.0)
-        explained = sum(
-            product * self._weights.get((two, called), 1.0)
-            for (first, two), product in self._run_products.items()
-            if first == one
-        )
-        return old * call_product / explained if explained > 0 else old
+        self._weights = weights
 
     @property
     def has_calls(self) -> bool:
@@ -146,7 +226,12 @@
 
     def is_leaf(self, route: Route) -> bool:
         """Tell whether runs of ``route`` are not known to need any call."""
-        return route.name not in self._callees
+        return not self._called_by(route.name)
+
+    def _called_by(self, name: str) -> set[str]:
+        """Return the routes, or groups of routes, that runs of a route call."""
+        found = self._callees.get(name)
+        return found if found is not None else self._callees.get(self._group(name), set())
 
     def reachable_services(self, route: Route) -> frozenset[str]:
         """Return the services that requests of ``route`` may reach."""
@@ -161,9 +246,40 @@
             return frozenset(self._services.values())
         seen, todo = {route.name}, [route.name]
         while todo:
-            for name in self._callees.get(todo.pop(), ()):
+            for name in self._called_by(todo.pop()):
                 if name not in seen:
                     seen.add(name)
                     todo.append(name)
-        services = {self._services[name] for name in seen if name in self._services}
+        services = {self._service(name) for name in seen} - {""}
         return frozenset(services | {part.service for part in route.service_weights})
+
+    def _service(self, name: str) -> str:
+        """Return the service of a route or a group, empty if not known."""
+        if name.startswith(GROUP_PREFIX):
+            return name.removeprefix(GROUP_PREFIX)
+        return self._services.get(name, "")
+
+
+def _updated_weight(old: float, target: float, explained: float) -> float:
+    # Without a window that had both the run and the call, nothing is known of the pair.
+    return old * target / explained if target > 0.0 and explained > 0.0 else old
+
+
+def _renamed(table: Mapping[str, float], names: Mapping[str, str]) -> dict[str, float]:
+    """Return ``table`` with keys replaced as in ``names``, adding the values of equal keys."""
+    found: dict[str, float] = {}
+    for key, value in table.items():
+        new = names.get(key, key)
+        found[new] = found.get(new, 0.0) + value
+    return found
+
+
+def _renamed_pairs(
+    table: Mapping[Pair, float], firsts: Mapping[str, str], seconds: Mapping[str, str]
+) -> dict[Pair, float]:
+    """Return ``table`` with both parts of its keys replaced, adding the values of equal keys."""
+    found: dict[Pair, float] = {}
+    for (one, two), value in table.items():
+        pair = (firsts.get(one, one), seconds.get(two, two))
+        found[pair] = found.get(pair, 0.0) + value
+    return found
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -593,6 +593,13 @@
         "        bool(tenants and _organisations(tenants)),\n",
         REQUESTS + "test_the_last_key_withdrawn_opens_all_routes_0_its_tenant_stays",
     ),
+    Mutant(
+        "mesh: the work of the call graph does not grow with the routes",
+        "mesh/graph.py",
+        "        if len(self.totals) > MAX_ROUTES:\n",
+        "        if False:\n",
+        MESH + "CallGraphTest",
+    ),
 )
 
 
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+import sys
 from typing import NamedTuple
 from unittest import mock
 
@@ -19,12 +20,14 @@
 from beryldrum.mesh.frames import Load, Member
 from beryldrum.mesh.gate import CALL_PRIORITY, Gate, RunRequest, call_priority
 from beryldrum.mesh.gate import Admission as Admitted
-from beryldrum.mesh.graph import CallGraph
+from beryldrum.mesh.graph import MAX_ROUTES, CallGraph
 from beryldrum.mesh.load_balancer import LoadBalancer
 from beryldrum.mesh.split import Splitter
 
 STEP_S = 0.005
 REPORT_PERIOD_S = 0.3
+LINES_PER_TICK = 50_000
+"""Lines of Python that a periodic task may run: some ten milliseconds."""
 
 
 class RequestClass(NamedTuple):
@@ -502,6 +505,91 @@
         )
         self.assertEqual({"shop"}, graph.reachable_services(route("list", "shop")))
 
+    def many(self, routes, marked, windows=12):
+        """Return a graph after windows with runs of many routes, each with a call.
+
+        Counts the Python lines that each tick runs.
+        """
+        clock, rng = ManualClock(), random.Random(3)
+        graph = CallGraph(clock)
+        runs, called = [f"r{n}" for n in range(routes)], [f"c{n}" for n in range(routes)]
+        graph.load(dict.fromkeys(runs, "shop") | dict.fromkeys(called, "store"))
+        for _window in range(windows):
+            for _number in range(routes):
+                run, call = rng.choice(runs), rng.choice(called)
+                graph.record_run(run)
+                graph.record_call(call, run if marked else "")
+            clock.advance(0.5)
+            self.counted_tick(graph)
+        return graph
+
+    def counted_tick(self, graph):
+        lines = 0
+
+        def count(_frame, event, _arg):
+            nonlocal lines
+            lines += event == "line"
+            if lines > LINES_PER_TICK:
+                raise AssertionError(f"a tick runs more than {LINES_PER_TICK} lines")
+            return count
+
+        before = sys.gettrace()
+        sys.settrace(count)
+        try:
+            graph.tick([])
+        finally:
+            sys.settrace(before)
+
+    @parameterized.expand(
+        [
+            ("240 routes, calls that tell nothing", 240, False),
+            ("472 routes, calls that tell nothing", 472, False),
+            ("944 routes, calls that tell nothing", 944, False),
+            ("472 routes, calls that tell their run", 472, True),
+            ("944 routes, calls that tell their run", 944, True),
+        ]
+    )
+    def test_many_routes_hold_a_node_for_seconds(self, _, routes, marked):
+        graph = self.many(routes, marked)
+        kept = (graph._run_products, graph._call_products, graph._marked_calls, graph.calls())
+        for table in kept:
+            self.assertLessEqual(len(table), (MAX_ROUTES + 2) ** 2)
+
+    @parameterized.expand([("calls that tell their run", True), ("calls that tell nothing", False)])
+    def test_a_route_among_many_reaches_what_its_group_calls(self, _, marked):
+        graph = self.many(240, marked, windows=40)
+        for name in ("r0", "r239"):
+            reached = graph.reachable_services(route(name, "shop"))
+            self.assertEqual({"shop", "store"}, reached)
+            self.assertFalse(graph.is_leaf(route(name, "shop")))
+        self.assertEqual({"store"}, graph.reachable_services(route("c0", "store")))
+
+    def test_routes_that_are_not_used_any_more_are_forgotten(self):
+        graph = self.many(240, marked=False)
+        for _ in range(600):
+            graph._clock.advance(0.5)
+            graph.tick([])
+        self.assertEqual({}, graph._run_routes.totals)
+        self.assertEqual(({}, {}), (graph._run_products, graph._call_products))
+
+    def test_the_busiest_routes_are_learnt_one_by_one_beside_many(self):
+        clock, rng = ManualClock(), random.Random(4)
+        graph = CallGraph(clock)
+        rare = [f"r{n}" for n in range(240)]
+        services = dict.fromkeys([*rare, "list", "sheet"], "shop") | {"stock": "store"}
+        graph.load(services)
+        for _ in range(60):
+            for name in (*rng.sample(rare, 20), *["list"] * rng.randrange(5, 25)):
+                graph.record_run(name)
+            for _ in range(rng.randrange(5, 25)):
+                graph.record_run("sheet")
+                graph.record_call("stock", "")
+            clock.advance(0.5)
+            graph.tick([])
+        self.assertEqual({"shop", "store"}, graph.reachable_services(route("sheet", "shop")))
+        for name in ("list", "r7"):
+            self.assertEqual({"shop"}, graph.reachable_services(route(name, "shop")))
+
 
 class SplitterTest(TestCase):
     """Requests are divided by weight."""
