--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -32,6 +32,10 @@
 HEARTBEAT_TIMEOUT_S = 6.0
 """Time without a heartbeat after which the target is treated as gone."""
 
+UNCONFIRMED_S = 2.5
+"""Time over which heartbeats must go on before a target is used if it is not known which
+targets have left: one that has left sends no more, and late ones arrive together."""
+
 STATEMENT_LOG_S = 1.0
 """Shortest interval between log lines about what the target states in its answers."""
 
@@ -71,6 +75,11 @@
         self._on_change = on_change
         self._memory = memory
         self.announcements = AnnouncementTracker()
+        self.departures_known = False
+        """Whether it is known which targets had left before this process started."""
+        self._held: Announcement | None = None
+        """The last announcement that is not used yet because that is not known."""
+        self._held_since = 0.0
         self.stopping = False
         self.stop_at = float("inf")
         """When the node stops running requests, in clock seconds; none gets more time."""
@@ -98,6 +107,8 @@
 
     def heartbeat(self, announcement: Announcement) -> bool:
         """Process a heartbeat; returns whether peers have to be notified at once."""
+        if not self.departures_known and self._target is None and self._hold(announcement):
+            return False
         old = self._target
         if not self.announcements.heartbeat(announcement):
             return False
@@ -110,6 +121,33 @@
         self._gate.resize(announcement.slots)
         return old.state != announcement.state or old.slots != announcement.slots
 
+    def _hold(self, announcement: Announcement) -> bool:
+        """Hold a heartbeat that may be a late one of a target that has left."""
+        if announcement.state != READY:
+            return False
+        now, held = self._clock.now(), self._held
+        if held is None or not held.same_start(announcement):
+            if held is None or announcement.born_ms >= held.born_ms:
+                self._held, self._held_since = announcement, now
+            return True
+        if announcement.sequence <= held.sequence:
+            return True
+        self._held = announcement
+        return now - self._held_since < UNCONFIRMED_S
+
+    def restore_departures(self, departures: dict[str, int]) -> bool:
+        """Apply what the store says of targets that have left this host.
+
+        Returns whether peers have to be notified, since a target is in use from now on.
+        """
+        self.announcements.restore(departures)
+        self.departures_known = True
+        held, self._held = self._held, None
+        target = self._target
+        if target is not None and target.born_ms <= departures.get(target.target_id, -1):
+            self._leave("store")
+        return held is not None and self.heartbeat(held)
+
     def _replace_target(self, announcement: Announcement) -> None:
         self._refuse_waiting(request.NO_TARGET)
         if self._pool is not None:
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -19,6 +19,7 @@
 from .configuration import ConfigurationState
 from .conventions import Deregistration, TargetMessage, WireAdapter
 from .deadlines import Deadlines
+from .departures import DepartureRecorder
 from .directory import Directory, Peer
 from .document import FleetDocument, Route
 from .entry import AdmissionCheck, AttemptRunner, Entry, KeyCheck
@@ -61,9 +62,9 @@
 from .metrics import MeshMetrics, TargetState
 from .quota import Quotas, Tolerance
 from .settings import MeshSettings
-from .store import Store
+from .store import Registry, Store
 from .summaries import SUMMARY_PERIOD_S, Summaries
-from .target import Announcement
+from .target import DRAINING, Announcement
 
 __all__ = ["MeshNode", "max_report_age_s", "serve"]
 
@@ -101,6 +102,13 @@
 MEMBERS_POLL_LARGE_S = 180.0
 """That period in a large fleet, except for the first node of each data centre."""
 
+DEPARTURE_TIMEOUT_S = 0.8
+"""Longest time for which a target waits until its leaving is recorded. It takes an answer
+that comes within a second for a confirmation."""
+
+DEPARTURE_RETENTION_S = 600.0
+"""Time after which the departures of a host that no longer exists are removed."""
+
 KEY_MARGIN_S = 0.4
 """Subtracted from the time within which a withdrawn key must stop working, to allow for
 clocks that run at different speeds and for the transfer of a request to its target."""
@@ -159,12 +167,13 @@
 
 
 class _ControlService(HttpService):
-    def __init__(self, handle: Callable[[HttpRequest], bool]) -> None:
+    def __init__(self, handle: Callable[[HttpRequest], Awaitable[int]]) -> None:
         self._handle = handle
 
     async def handle(self, http_request: HttpRequest) -> HttpResponse:
-        if not self._handle(http_request):
-            return HttpResponse(400)
+        status = await self._handle(http_request)
+        if status != 200:
+            return HttpResponse(status)
         return HttpResponse(200, b"Content-Type: application/json\r\n", b"{}")
 
 
@@ -206,6 +215,9 @@
             response_memory,
             self._broadcast_state,
         )
+        self.departures = DepartureRecorder(
+            self.clock, store, address, self.explainer, self.target.announcements.departures
+        )
         self.metrics = MeshMetrics(self.quotas.states, self._target_state)
         self.stopping = False
         self._deadlines = Deadlines()
@@ -601,7 +613,12 @@
                 if not registered:
                     await self._store.register(self.member)
                     registered = True
-                members = await self._store.members()
+                registry = await self._store.registry()
+                members = registry.members
+                if registry.unreadable:
+                    self.explainer.event("store entries ignored", keys=registry.unreadable[:10])
+                if not self.target.departures_known:
+                    self._restore_departures(registry)
                 # All are added before connecting, so that a large fleet is recognised first.
                 new = [self.directory.add(member) for member in members]
                 self._connect_all([peer for peer in new if peer is not None])
@@ -610,6 +627,8 @@
                 registered = self.member in members
                 first = not self.directory.large or not self.follower.rank()
                 period_s = MEMBERS_POLL_S if first or not registered else MEMBERS_POLL_LARGE_S
+                if not self.follower.rank():
+                    await self._remove_old_departures(registry)
                 await asyncio.sleep(period_s * self._rng.uniform(0.8, 1.2))
             except LogError as exc:
                 self.explainer.event("members not read", error=repr(exc))
@@ -618,11 +637,35 @@
 
     # The local target.
 
-    def _handle_statement(self, http_request: HttpRequest) -> bool:
+    def _restore_departures(self, registry: Registry) -> None:
+        record = registry.departures.get(self.member.address)
+        targets = record.targets if record else {}
+        self.departures.restore(targets)
+        if targets:
+            self.explainer.event("departures restored", targets=targets)
+        if self.target.restore_departures(targets):
+            self._broadcast_state()
+
+    async def _remove_old_departures(self, registry: Registry) -> None:
+        registered = {member.address for member in registry.members}
+        before_ms = self.clock.wall_ms() - DEPARTURE_RETENTION_S * 1000
+        old = [
+            address
+            for address, departures in registry.departures.items()
+            if address not in registered and departures.recorded_ms < before_ms
+        ]
+        if old:
+            await self._store.remove_departures(old)
+
+    async def _handle_statement(self, http_request: HttpRequest) -> int:
+        """Process a statement of the target; returns the status of the answer.
+
+        That a target leaves takes effect at once, but is confirmed only when it is recorded.
+        """
         statement = self._adapter.parse_target_message(http_request)
         if statement is None or not self._is_from_local_target(statement):
             self.explainer.event("target statement ignored", bytes=len(http_request.body))
-            return False
+            return 400
         if isinstance(statement, Deregistration):
             changed = self.target.deregister(statement.target_id, statement.born_ms)
         else:
@@ -631,7 +674,10 @@
         if changed:
             self.explainer.event("target", **statement._asdict())
             self._broadcast_state()
-        return True
+        leaves = isinstance(statement, Deregistration) or statement.state == DRAINING
+        if leaves and not await self.departures.record(DEPARTURE_TIMEOUT_S):
+            return 503
+        return 200
 
     def _is_from_local_target(self, statement: TargetMessage) -> bool:
         """Tell whether a statement can be from the target on this host."""
@@ -773,6 +819,7 @@
             link.abort()
         for task in [*self._tasks, *self._link_tasks.values()]:
             task.cancel()
+        self.departures.stop()
         self._store.close()
 
 
--- a/beryldrum/mesh/store.py
+++ b/beryldrum/mesh/store.py
@@ -1,4 +1,6 @@
-"""The interface to the platform's store, which holds the configuration and the members.
+"""The interface to the platform's store.
+
+It holds the configuration, the members and the targets that have left.
 
 An adapter implements :class:`Store` for a given platform. Calls raise
 :class:`~beryldrum.errors.LogError` if the store does not answer or answers with a failure.
@@ -9,7 +11,7 @@
 
 from .frames import Member
 
-__all__ = ["Store", "Watch"]
+__all__ = ["Departures", "Registry", "Store", "Watch"]
 
 
 class Watch(NamedTuple):
@@ -25,6 +27,28 @@
     waited_s: float
 
 
+class Departures(NamedTuple):
+    """The targets that have left a host.
+
+    ``targets`` has the latest start of each, in wall-clock milliseconds, by target id.
+    ``recorded_ms`` is the wall-clock time of the record.
+    """
+
+    targets: dict[str, int]
+    recorded_ms: int
+
+
+class Registry(NamedTuple):
+    """All registered members, and the departures by the address of their host's node.
+
+    ``unreadable`` has the keys of entries that something else has written.
+    """
+
+    members: list[Member]
+    departures: dict[str, Departures]
+    unreadable: list[str]
+
+
 class Store(ABC):
     """The store for data that must outlive the nodes' processes."""
 
@@ -45,8 +69,16 @@
         """Remove the member at an address."""
 
     @abstractmethod
-    async def members(self) -> list[Member]:
-        """Return all registered members."""
+    async def registry(self) -> Registry:
+        """Return all registered members and departures."""
+
+    @abstractmethod
+    async def record_departures(self, address: str, departures: Departures) -> None:
+        """Replace the departures of the host whose node is at an address."""
+
+    @abstractmethod
+    async def remove_departures(self, addresses: list[str]) -> None:
+        """Remove the departures of hosts that no longer exist."""
 
     @abstractmethod
     def close(self) -> None:
--- a/beryldrum/mesh/target.py
+++ b/beryldrum/mesh/target.py
@@ -15,8 +15,11 @@
 DRAINING = "draining"
 
 MAX_ENDED = 256
-"""Number of deregistered targets remembered, so that a late heartbeat is not taken for a
-new target."""
+"""Number of targets that have left that are remembered, so that a late heartbeat is not
+taken for a new target."""
+
+MAX_DEPARTURES = 16
+"""Number of them that are recorded in the store; heartbeats are late by seconds."""
 
 
 class Announcement(NamedTuple):
@@ -79,6 +82,19 @@
             return announcement.target_id != old.target_id
         return announcement.born_ms > old.born_ms
 
+    def departures(self) -> dict[str, int]:
+        """Return the latest start of each target that has left, in milliseconds, by its id."""
+        found = dict(self._ended)
+        if self.current is not None and self.current.state == DRAINING:
+            known_ms = found.pop(self.current.target_id, 0)
+            found[self.current.target_id] = max(known_ms, self.current.born_ms)
+        return dict(list(found.items())[-MAX_DEPARTURES:])
+
+    def restore(self, departures: dict[str, int]) -> None:
+        """Add the departures that an earlier process of this node has recorded."""
+        for target_id, born_ms in departures.items():
+            self._ended[target_id] = max(born_ms, self._ended.get(target_id, 0))
+
     def leave(self) -> None:
         """Record that the current target has stated that it leaves."""
         if self.current is not None:
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -3,20 +3,22 @@
 import base64
 import struct
 import time
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
 from ..errors import AnswerLostError, LogDownError, LogUnresponsiveError, TargetUnreachedError
 from ..mesh.client import Pool, Response
 from ..mesh.frames import Member
-from ..mesh.store import Store, Watch
+from ..mesh.store import Departures, Registry, Store, Watch
 
 __all__ = ["PlatformStore"]
 
 OPERATOR_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 MEMBERS_TOPIC = "keyed.beryldrum-nodes"
+DEPARTURES_PREFIX = "left "
+"""Begins the keys of departures, in the topic of the members: one read returns both."""
 
 TIMEOUT_S = 1.0
 """Timeout of calls that do not wait for changes; a slow store takes a quarter of a second
@@ -38,6 +40,15 @@
     end_offset: int
 
 
+_WallMs = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""A wall-clock time in milliseconds."""
+
+
+class _Departures(msgspec.Struct, array_like=True):
+    targets: dict[str, _WallMs]
+    recorded_ms: _WallMs
+
+
 class _Record(NamedTuple):
     key: str
     value: bytes
@@ -45,6 +56,7 @@
 
 _page_decoder = msgspec.json.Decoder(_LatestPage)
 _member_decoder = msgspec.msgpack.Decoder(Member)
+_departures_decoder = msgspec.msgpack.Decoder(_Departures)
 
 
 class PlatformStore(Store):
@@ -86,22 +98,30 @@
         return Watch(None, position, wait_s if waited else 0.0)
 
     async def register(self, member: Member) -> None:
-        await self._put(member.address, msgspec.msgpack.encode(member))
+        await self._put({member.address: msgspec.msgpack.encode(member)})
 
     async def deregister(self, address: str) -> None:
-        await self._put(address, b"")
+        await self._put({address: b""})
+
+    async def record_departures(self, address: str, departures: Departures) -> None:
+        value = msgspec.msgpack.encode(_Departures(*departures))
+        await self._put({DEPARTURES_PREFIX + address: value})
+
+    async def remove_departures(self, addresses: list[str]) -> None:
+        await self._put({DEPARTURES_PREFIX + address: b"" for address in addresses})
 
-    async def _put(self, key: str, value: bytes) -> None:
-        data = bytes((len(key),)) + key.encode() + value
-        path = f"/log-append?topic={MEMBERS_TOPIC}&part=0"
-        await self._call("POST", path, LENGTH.pack(len(data)) + data)
+    async def _put(self, values: dict[str, bytes]) -> None:
+        records = [bytes((len(key),)) + key.encode() + value for key, value in values.items()]
+        data = b"".join(LENGTH.pack(len(record)) + record for record in records)
+        await self._call("POST", f"/log-append?topic={MEMBERS_TOPIC}&part=0", data)
 
-    async def members(self) -> list[Member]:
-        found: list[Member] = []
+    async def registry(self) -> Registry:
+        found = Registry([], {}, [])
         after, more = "", True
         while more:
             page = await self._page(MEMBERS_TOPIC, after)
-            found.extend(m for m in map(_decode_member, page.items) if m is not None)
+            for item in page.items:
+                _add_to_registry(item, found)
             more = page.has_more and bool(page.items)
             after = page.items[-1].key if page.items else ""
         return found
@@ -151,8 +171,14 @@
     return records
 
 
-def _decode_member(item: _Item) -> Member | None:
+def _add_to_registry(item: _Item, registry: Registry) -> None:
     try:
-        return _member_decoder.decode(base64.b64decode(item.value))
+        value = base64.b64decode(item.value)
+        if item.key.startswith(DEPARTURES_PREFIX):
+            record = _departures_decoder.decode(value)
+            address = item.key.removeprefix(DEPARTURES_PREFIX)
+            registry.departures[address] = Departures(record.targets, record.recorded_ms)
+        else:
+            registry.members.append(_member_decoder.decode(value))
     except (msgspec.DecodeError, ValueError):
-        return None
+        registry.unreadable.append(item.key)
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -45,6 +45,7 @@
 KEPT = "tests/test_mesh_kept_connections.py::"
 STOP = "tests/test_mesh_stop.py::"
 MEMORY = "tests/test_mesh_memory.py::"
+DEPARTURES = "tests/test_mesh_departures.py::"
 MUTANTS = (
     Mutant(
         "retries stay bounded end to end",
@@ -600,6 +601,27 @@
         "        if False:\n",
         MESH + "CallGraphTest",
     ),
+    Mutant(
+        "mesh: a leaving is confirmed when the store has it",
+        "mesh/node.py",
+        "        if leaves and not await self.departures.record(DEPARTURE_TIMEOUT_S):\n",
+        "        if False:\n",
+        DEPARTURES + "DepartureTest",
+    ),
+    Mutant(
+        "mesh: targets that left are restored from the store",
+        "mesh/target.py",
+        "            self._ended[target_id] = max(born_ms, self._ended.get(target_id, 0))\n",
+        "            pass\n",
+        DEPARTURES + "DepartureTest",
+    ),
+    Mutant(
+        "mesh: without the store a target must go on to be used",
+        "mesh/local_target.py",
+        "        return now - self._held_since < UNCONFIRMED_S\n",
+        "        return False\n",
+        DEPARTURES + "UnconfirmedTest",
+    ),
 )
 
 
