Tests: two stand-ins follow the store's interface and wait for the departures

FollowerTest's store lacked the new calls (6 tests), and three cases of test_a_stale_statement_hides_a_stricter_one announced a target before the node had read them. What they check is unchanged.

--- a/tests/test_mesh_scale.py
+++ b/tests/test_mesh_scale.py
@@ -526,7 +526,13 @@
     async def deregister(self, address):
         raise NotImplementedError
 
-    async def members(self):
+    async def registry(self):
+        raise NotImplementedError
+
+    async def record_departures(self, address, departures):
+        raise NotImplementedError
+
+    async def remove_departures(self, addresses):
         raise NotImplementedError
 
     def close(self):
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -277,6 +277,7 @@
                 (shop,) = fleet.hosts
                 fleet.store.publish(config())
                 target = shop.node.target
+                await until(lambda target=target: target.departures_known)
                 announced = Announcement("i-0", "shop", shop.cfg.target, "dc0", 4, READY, 1, 0.0, 1)
                 if not before_heartbeat:
                     target.heartbeat(announced)
