Mesh: odd data of another writer costs itself, not a process, task or connection

Cause: decoding raises more than the decoder's own class: RecursionError, OverflowError on numbers that are decoded and then encoded, converted or connected to, struct.error on short reads. A node ended itself when one of its tasks failed.

Change: one list of these errors, caught where bytes are decoded; bounds on numbers and addresses there; a frame that cannot be used is skipped; tasks that fail are logged and started again; lines of the log and a log without a reader fail alone; a start in the far future is not believed.

--- a/beryldrum/logs.py
+++ b/beryldrum/logs.py
@@ -1,6 +1,7 @@
 """Configuration of structured logging."""
 
 import logging
+import reprlib
 import sys
 import time
 from collections.abc import MutableMapping
@@ -12,6 +13,10 @@
 
 __all__ = ["setup"]
 
+_short_repr = reprlib.Repr()
+"""Cuts the values of a line that could not be encoded as they are."""
+_short_repr.maxstring = _short_repr.maxother = 200
+
 SECRET_FIELDS = frozenset(("key", "token", "authorization", "secret", "admin_token"))
 
 
@@ -35,7 +40,12 @@
 
 
 def _to_json(event: Any, **_: Any) -> str:
-    return msgspec.json.encode(event, enc_hook=repr).decode()
+    try:
+        return msgspec.json.encode(event, enc_hook=repr).decode()
+    except (ValueError, OverflowError, RecursionError, TypeError):
+        # A line about an odd value must not fail because of it.
+        fields = {name: _short_repr.repr(value) for name, value in event.items()}
+        return msgspec.json.encode(fields).decode("utf-8", "replace")
 
 
 def setup(level: str, log_format: str, stream: Any = None) -> None:
--- a/beryldrum/mesh/client.py
+++ b/beryldrum/mesh/client.py
@@ -251,7 +251,7 @@
     for part in value.split(b","):
         name, _, number = part.partition(b"=")
         if name.strip().lower() == b"timeout" and number.strip().isdigit():
-            return max(0.0, min(MAX_IDLE_S, int(number) - KEEP_ALIVE_MARGIN_S))
+            return max(0.0, min(MAX_IDLE_S, float(number) - KEEP_ALIVE_MARGIN_S))
     return MAX_IDLE_S
 
 
--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -5,10 +5,12 @@
 """
 
 import struct
+from typing import Annotated
 
 import msgspec
 
 from ..errors import FrameError
+from .decoding import DECODE_ERRORS
 from .quota import Usage
 
 __all__ = [
@@ -42,12 +44,31 @@
 LENGTH = struct.Struct(">I")
 
 
+OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
+PORT = "([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
+
+Address = Annotated[str, msgspec.Meta(pattern=rf"\A{OCTET}(\.{OCTET}){{3}}:{PORT}\Z")]
+"""An IPv4 address and a port."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""A number of things, or of milliseconds."""
+
+Version = Annotated[int, msgspec.Meta(ge=-1, le=2**53)]
+"""The version of a configuration, -1 before the first."""
+
+Age = Annotated[int, msgspec.Meta(ge=-1, le=2**53)]
+"""The age of a confirmation in milliseconds, -1 without one."""
+
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
+"""A finite quantity."""
+
+
 class Member(msgspec.Struct, array_like=True, frozen=True):
     """A node. ``incarnation`` is the wall-clock time of its start, in milliseconds."""
 
-    address: str
+    address: Address
     data_centre: str
-    incarnation: int
+    incarnation: Count
 
 
 class TargetStatus(msgspec.Struct, array_like=True, frozen=True):
@@ -57,8 +78,8 @@
     second, None if the target states none.
     """
 
-    incarnation: int
-    rate_limit: float | None
+    incarnation: Count
+    rate_limit: Amount | None
     leaving: bool
 
     def stricter(self, other: "TargetStatus") -> "TargetStatus":
@@ -79,12 +100,12 @@
     """
 
     service: str = ""
-    busy: int = 0
-    limit: int = 0
-    run_ms: float = 0.0
-    failed: float = 0.0
-    full: float = 0.0
-    queued: int = 0
+    busy: Count = 0
+    limit: Count = 0
+    run_ms: Amount = 0.0
+    failed: Amount = 0.0
+    full: Amount = 0.0
+    queued: Count = 0
     status: TargetStatus | None = None
 
 
@@ -99,9 +120,9 @@
     """Header lines for the target, each terminated by CR LF."""
     body: bytes
     organisation: str
-    priority: int
-    left_ms: int
-    due_ms: int
+    priority: Count
+    left_ms: Count
+    due_ms: Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
     """Remaining time of the route's latency objective; negative once it is over."""
     request_id: str
     idempotent: bool
@@ -115,11 +136,11 @@
 
     sequence: int
     outcome: int
-    status: int
+    status: Annotated[int, msgspec.Meta(ge=0, le=999)]
     head: bytes = b""
     body: bytes = b""
     reason: str = ""
-    retry_after_ms: int = 0
+    retry_after_ms: Count = 0
     load: Load | None = None
     handed: bool = False
     """Whether the request was handed to the target."""
@@ -141,12 +162,12 @@
 
     member: Member
     load: Load
-    version: int
-    proof_ms: int
+    version: Version
+    proof_ms: Age
     uses: dict[str, Usage]
-    calls: dict[str, float]
+    calls: dict[str, Amount]
     stopping: bool = False
-    data_centre_count: int = 0
+    data_centre_count: Count = 0
     """Number of data centres known to a node of a large fleet; 0 in a small fleet."""
 
 
@@ -182,7 +203,7 @@
 
     sequence: int
     text: bytes
-    proof_ms: int
+    proof_ms: Age
 
 
 class NodeLoad(msgspec.Struct, array_like=True):
@@ -207,12 +228,12 @@
 
     sequence: int
     source: Member
-    age_ms: int
+    age_ms: Count
     nodes: list[NodeLoad]
     uses: dict[str, Usage]
-    calls: dict[str, float]
-    version: int
-    proof_ms: int
+    calls: dict[str, Amount]
+    version: Version
+    proof_ms: Age
 
 
 class GrantRequest(msgspec.Struct, array_like=True, tag=11):
@@ -227,7 +248,7 @@
 
     sequence: int
     granted: bool
-    wait_ms: int
+    wait_ms: Count
 
 
 class GrantReturn(msgspec.Struct, array_like=True, tag=13):
@@ -268,5 +289,5 @@
     """Return the message in a frame's body; raises FrameError."""
     try:
         return _decoder.decode(body)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         raise FrameError(str(exc)) from exc
--- a/beryldrum/mesh/lines.py
+++ b/beryldrum/mesh/lines.py
@@ -39,4 +39,9 @@
                 count = os.write(self._fd, self._buffer)
             except BlockingIOError:
                 return
+            except OSError:
+                # Nobody can read the lines any more, and there is no other place for them.
+                self.dropped += self._buffer.count(b"\n")
+                self._buffer.clear()
+                return
             del self._buffer[:count]
--- a/beryldrum/mesh/links.py
+++ b/beryldrum/mesh/links.py
@@ -14,6 +14,7 @@
 from ..errors import FrameError, PeerLostError
 from . import frames
 from .deadlines import Deadlines
+from .http import report_exception
 
 __all__ = ["Link", "LinkHandler", "LinkProtocol", "listen"]
 
@@ -67,13 +68,20 @@
                 end = start + 4 + length
                 if end > size:
                     break
-                message = frames.decode(bytes(memoryview(buffer)[start + 4 : end]))
-                start = end
-                self._handler.message(message, self)
-        except FrameError:
+                body, start = bytes(memoryview(buffer)[start + 4 : end]), end
+                self._handle(body)
+        except FrameError as exc:
+            report_exception(exc, "the frames of a node")
             self.abort()
         del buffer[:start]
 
+    def _handle(self, body: bytes) -> None:
+        try:
+            self._handler.message(frames.decode(body), self)
+        except Exception as exc:
+            # Other requests use the connection, so it goes on without this message.
+            report_exception(exc, "a message of a node")
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._handler.link_closed(self)
@@ -153,7 +161,7 @@
                 _, protocol = await loop.create_connection(
                     lambda: LinkProtocol(self), host, int(port)
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             raise PeerLostError(self.address, sent=False) from exc
         self._protocol = protocol
         self._closed = loop.create_future()
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -132,6 +132,12 @@
 REPLY_MARGIN_S = 0.1
 """Time that an answer takes at most from a target's node to its caller."""
 
+TASK_RESTART_S = 0.5
+"""Delay before one of the node's tasks that has failed is started again."""
+
+MAX_CLOCK_ERROR_MS = 3_600_000
+"""Time in the future above which a stated start of a target cannot be true."""
+
 LOAD_LOG_S = 1.0
 """Shortest interval between log lines about overload."""
 
@@ -681,6 +687,8 @@
 
     def _is_from_local_target(self, statement: TargetMessage) -> bool:
         """Tell whether a statement can be from the target on this host."""
+        if statement.born_ms > self.clock.wall_ms() + MAX_CLOCK_ERROR_MS:
+            return False
         if isinstance(statement, Deregistration):
             return True
         doc = self.configuration.document
@@ -754,9 +762,7 @@
             self._tick,
             self.explainer.run,
         ):
-            task = asyncio.create_task(run())
-            task.add_done_callback(self._task_done)
-            self._tasks.append(task)
+            self._tasks.append(asyncio.create_task(self._keep_running(run)))
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
@@ -768,11 +774,14 @@
             first_start=cfg.first_start,
         )
 
-    def _task_done(self, task: asyncio.Task[Any]) -> None:
-        # Stop the node, so that it is restarted, rather than run without one of its tasks.
-        if not task.cancelled() and task.exception() is not None:
-            self._logger.critical("task failed", error=repr(task.exception()))
-            signal.raise_signal(signal.SIGTERM)
+    async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run one of the node's tasks, and start it again if it fails."""
+        while True:
+            try:
+                await run()
+            except Exception as exc:
+                self._logger.critical("task failed", task=run.__qualname__, error=repr(exc))
+            await asyncio.sleep(TASK_RESTART_S)
 
     async def drain(self) -> None:
         """Stop accepting requests after ``DRAIN_ACCEPT_S`` and wait for those that run.
--- a/beryldrum/mesh/quota.py
+++ b/beryldrum/mesh/quota.py
@@ -19,7 +19,9 @@
 import math
 import random
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+import msgspec
 
 from ..clock import Clock
 from .document import Organisation
@@ -73,9 +75,9 @@
     Integers take a third of the bytes of floats.
     """
 
-    demand: int
-    admitted: int
-    level: int
+    demand: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    admitted: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    level: Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
 
 
 class Tolerance(NamedTuple):
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -1,6 +1,7 @@
 """The platform's wire formats for requests, answers and target messages."""
 
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -15,6 +16,7 @@
     TargetNotice,
     WireAdapter,
 )
+from ..mesh.decoding import DECODE_ERRORS
 from ..mesh.document import FleetDocument
 from ..mesh.http import Header, HttpRequest
 from ..mesh.target import DRAINING, READY, Announcement
@@ -57,31 +59,40 @@
 )
 STRIPPED = HOP_BY_HOP | RESERVED
 
+MAX_RATE_PER_S = 1e9
+"""A higher limit of a target is taken for this one."""
+
+MAX_DEADLINE_DIGITS = 12
+"""Digits of a deadline in milliseconds; all longer ones are beyond any route's timeout."""
+
 HEARTBEAT = "instances.heartbeat"
 DEREGISTER = "instances.deregister"
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class _Information(msgspec.Struct):
     service: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 
 
 class _Status(msgspec.Struct):
     state: str
-    sequence: int
-    cold_remaining_ms: float = 0
+    sequence: _Number
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=86_400_000)] = 0
 
 
 class _Heartbeat(msgspec.Struct):
     address: str
     information: _Information
     status: _Status
-    born: int = 0
+    born: _Number = 0
 
 
 class _Start(msgspec.Struct):
-    born: int = 0
+    born: _Number = 0
 
 
 _start_decoder = msgspec.json.Decoder(_Start)
@@ -108,7 +119,7 @@
             request_id,
             headers.get(b"host", b"").partition(b":")[0].decode("latin-1").lower(),
             http_request.target.partition("?")[0],
-            int(deadline) if deadline else -1,
+            int(deadline[:MAX_DEADLINE_DIGITS]) if deadline else -1,
             _bearer_key(authorization) if authorization else "",
         )
 
@@ -187,10 +198,10 @@
             return None
         try:
             beat = _heartbeat_decoder.decode(http_request.body)
-        except (msgspec.DecodeError, ValueError):
+        except DECODE_ERRORS:
             return None
         info, status = beat.information, beat.status
-        if status.state not in (READY, DRAINING) or info.slots < 1 or not info.service:
+        if status.state not in (READY, DRAINING) or not info.service:
             return None
         return Announcement(
             target_id,
@@ -207,14 +218,14 @@
     def parse_document(self, text: bytes) -> FleetDocument:
         try:
             return documents.decode(text)
-        except (msgspec.MsgspecError, ValueError, KeyError, TypeError) as exc:
+        except (*DECODE_ERRORS, KeyError, TypeError) as exc:
             raise DocumentError((f"configuration: {exc}",)) from exc
 
 
 def _stated_start_ms(body: bytes) -> int:
     try:
         return _start_decoder.decode(body).born if body else 0
-    except (msgspec.DecodeError, ValueError):
+    except DECODE_ERRORS:
         return 0
 
 
@@ -224,7 +235,7 @@
         rate = math.nan if b"_" in value else float(value)
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0.0 else None
+    return min(rate, MAX_RATE_PER_S) if math.isfinite(rate) and rate >= 0.0 else None
 
 
 def _bearer_key(authorization: bytes) -> str:
--- a/beryldrum/platform/documents.py
+++ b/beryldrum/platform/documents.py
@@ -1,6 +1,6 @@
 """Decodes the operator's configuration record into a :class:`FleetDocument`."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -15,6 +15,10 @@
 """Timeout of a route that states none."""
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
+
+
 class _Table(msgspec.Struct):
     columns: list[str]
     rows: list[list[Any]]
@@ -32,14 +36,14 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = Limits().header_bytes
-    max_body_bytes: int = Limits().body_bytes
-    header_timeout_ms: float = Limits().header_s * 1000
-    idle_timeout_ms: float = Limits().idle_s * 1000
+    max_header_bytes: _Number = Limits().header_bytes
+    max_body_bytes: _Number = Limits().body_bytes
+    header_timeout_ms: _Amount = Limits().header_s * 1000
+    idle_timeout_ms: _Amount = Limits().idle_s * 1000
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Number
     routes: _Table
     services: _Table
     tenants: _Table | msgspec.UnsetType = msgspec.UNSET
@@ -49,7 +53,7 @@
 
 class _WeightedService(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Amount
 
 
 class _Route(msgspec.Struct):
@@ -59,10 +63,10 @@
     kind: str
     service: str = ""
     weighted_services: list[_WeightedService] = []
-    timeout_ms: float = DEFAULT_TIMEOUT_S * 1000
-    target_latency_ms: float = 0
-    attempts: int = 1
-    priority: int = 0
+    timeout_ms: _Amount = DEFAULT_TIMEOUT_S * 1000
+    target_latency_ms: _Amount = 0
+    attempts: _Number = 1
+    priority: _Number = 0
     public: bool = False
 
 
@@ -73,9 +77,9 @@
 class _Organisation(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
-    requests_per_s: float = 0
-    burst: float = 0
+    priority: _Number | None = None
+    requests_per_s: _Amount = 0
+    burst: _Amount = 0
 
 
 _decoder = msgspec.json.Decoder(_Config)
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -9,6 +9,7 @@
 
 from ..errors import AnswerLostError, LogDownError, LogUnresponsiveError, TargetUnreachedError
 from ..mesh.client import Pool, Response
+from ..mesh.decoding import DECODE_ERRORS
 from ..mesh.frames import Member
 from ..mesh.store import Departures, Registry, Store, Watch
 
@@ -37,7 +38,7 @@
 class _LatestPage(msgspec.Struct):
     items: list[_Item]
     has_more: bool
-    end_offset: int
+    end_offset: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 _WallMs = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -72,7 +73,10 @@
     async def configuration(self) -> Watch:
         page = await self._page(OPERATOR_TOPIC, "")
         texts = [item.value for item in page.items if item.key == CONFIG_KEY]
-        text = base64.b64decode(texts[0]) if texts else None
+        try:
+            text = base64.b64decode(texts[0]) if texts else None
+        except ValueError as exc:
+            raise LogDownError(f"malformed configuration record: {exc}") from exc
         return Watch(text, page.end_offset, 0.0)
 
     async def watch(self, position: int, wait_s: float) -> Watch:
@@ -85,7 +89,10 @@
         )
         if response.status == 410:
             return await self.configuration()
-        end, _ = END_AND_FIRST_OFFSET.unpack_from(response.body)
+        try:
+            end, _ = END_AND_FIRST_OFFSET.unpack_from(response.body)
+        except struct.error as exc:
+            raise LogDownError(f"malformed read of topic {OPERATOR_TOPIC}: {exc}") from exc
         records = _parse_records(response.body[END_AND_FIRST_OFFSET.size :])
         texts = [record.value for record in records if record.key == CONFIG_KEY and record.value]
         if position + len(records) < end:
@@ -131,7 +138,7 @@
         response = await self._call("GET", f"/log-newest?topic={topic}&part=0{cursor}")
         try:
             return _page_decoder.decode(response.body)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except DECODE_ERRORS as exc:
             raise LogDownError(f"malformed page of topic {topic}: {exc}") from exc
 
     async def _call(
@@ -180,5 +187,5 @@
             registry.departures[address] = Departures(record.targets, record.recorded_ms)
         else:
             registry.members.append(_member_decoder.decode(value))
-    except (msgspec.DecodeError, ValueError):
+    except DECODE_ERRORS:
         registry.unreadable.append(item.key)
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -45,6 +45,7 @@
 KEPT = "tests/test_mesh_kept_connections.py::"
 STOP = "tests/test_mesh_stop.py::"
 MEMORY = "tests/test_mesh_memory.py::"
+ODD_INPUT = "tests/test_mesh_odd_input.py::"
 DEPARTURES = "tests/test_mesh_departures.py::"
 MUTANTS = (
     Mutant(
@@ -622,6 +623,34 @@
         "        return False\n",
         DEPARTURES + "UnconfirmedTest",
     ),
+    Mutant(
+        "mesh: nesting that is too deep costs its entry",
+        "mesh/decoding.py",
+        "OverflowError, RecursionError, struct.error)",
+        "OverflowError, struct.error)",
+        ODD_INPUT + "StoreEntriesTest",
+    ),
+    Mutant(
+        "mesh: an odd frame costs itself",
+        "mesh/links.py",
+        "        except Exception as exc:\n            # Other requests",
+        "        except AttributeError as exc:\n            # Other requests",
+        ODD_INPUT + "FramesTest::test_an_odd_frame_ends_its_connection_0_no_MessagePack",
+    ),
+    Mutant(
+        "mesh: a task that fails is started again",
+        "mesh/node.py",
+        '                self._logger.critical("task failed",',
+        '                raise\n                self._logger.critical("task failed",',
+        ODD_INPUT + "TasksTest",
+    ),
+    Mutant(
+        "mesh: a line of the log never fails because of its values",
+        "logs.py",
+        "    except (ValueError, OverflowError, RecursionError, TypeError):\n",
+        "    except KeyError:\n",
+        ODD_INPUT + "LogTest",
+    ),
 )
 
 
