--- a/beryldrum/mesh/http.py
+++ b/beryldrum/mesh/http.py
@@ -173,6 +173,7 @@
         self._body = bytearray()
         self._request_reserved = 0
         """The part of the reserved bytes that belongs to the request that is being read."""
+        self._offers_upgrade = False
         self.reading = False
 
     # Callbacks of the transport.
@@ -197,10 +198,42 @@
             return
         self.active_at = time.monotonic()
         try:
-            self._parser.feed_data(data)
+            while data:
+                data = self._parse(data)
         except (httptools.HttpParserError, _RefusalError) as exc:
             self._refuse(_refusal_status(exc))
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parse bytes and return those that are still to be parsed.
+
+        The parser stops behind the headers of a request that offers another protocol, even
+        if a body follows. They are parsed again without the offer, which is ignored.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            head = self._head_without_upgrade()
+            self._release(self._request_reserved)
+            self._parser = httptools.HttpRequestParser(self)
+            return head + data[exc.args[0] :]
+        return b""
+
+    def _head_without_upgrade(self) -> bytes:
+        version = self._parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s" % (self._parser.get_method(), self._url, version)]
+        for low, name, value in self._raw_headers:
+            if low == b"upgrade":
+                continue
+            if low == b"connection":
+                options = [option.strip() for option in value.split(b",")]
+                value = b", ".join(o for o in options if o.lower() != b"upgrade")
+            lines.append(b"%s: %s" % (name, value))
+        return b"\r\n".join([*lines, b"", b""])
+
+    def _release(self, size: int) -> None:
+        self._listener.memory.release(size)
+        self._reserved -= size
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -227,6 +260,11 @@
 
     def on_headers_complete(self) -> None:
         headers = self._headers
+        self._offers_upgrade = self._parser.should_upgrade()
+        if self._offers_upgrade:
+            if self._parser.get_method() == b"CONNECT":
+                raise _RefusalError(400)
+            return
         if b"content-length" in headers and b"transfer-encoding" in headers:
             raise _RefusalError(400)
         if headers.get(b"expect", b"").lower() == b"100-continue" and self._transport:
@@ -245,6 +283,8 @@
         self._request_reserved += size
 
     def on_message_complete(self) -> None:
+        if self._offers_upgrade:
+            return
         http_request = HttpRequest(
             self._parser.get_method().decode("latin-1"),
             self._url.decode("latin-1"),
@@ -282,8 +322,7 @@
             self._task = None
             if self._transport is not None:
                 # Otherwise all was released when the connection was lost.
-                self._listener.memory.release(queued.reserved)
-                self._reserved -= queued.reserved
+                self._release(queued.reserved)
         self.active_at = time.monotonic()
         close = response.close or not queued.keep_alive or self._service.closing()
         self._write(response, close, http_request.method == "HEAD")
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -651,6 +651,13 @@
         "    except KeyError:\n",
         ODD_INPUT + "LogTest",
     ),
+    Mutant(
+        "mesh: an offered upgrade is ignored",
+        "mesh/http.py",
+        "            return head + data[exc.args[0] :]\n",
+        "            return data[exc.args[0] :]\n",
+        "tests/test_mesh_requests.py::UpgradeTest",
+    ),
 )
 
 
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -16,7 +16,7 @@
 from beryldrum.standin.platform import PlatformStandin
 from harness.ports import free_port
 
-from .mesh_fleet import HOST, KEY, ROUTES, Fleet, config, route, table, until
+from .mesh_fleet import HOST, KEY, REQUEST_IDS, ROUTES, Fleet, config, route, table, until
 
 SIGNATURE = b"s"
 
@@ -373,3 +373,77 @@
             await one.start()
             await until(lambda: one.node.configuration.document is not None)
             self.assertIn(two.cfg.nodes, one.node.directory.peers)
+
+
+UPGRADE = "Connection: Upgrade\r\nUpgrade: h2c\r\n"
+SETTINGS = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
+WEBSOCKET = "Connection: keep-alive, Upgrade\r\nUpgrade: websocket\r\n"
+
+
+def raw(path, method, more, body=""):
+    """Return a request with additional header lines, as text."""
+    number = next(REQUEST_IDS)
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: u{number}\r\n"
+        f"X-Deadline-Milliseconds: 5000\r\nAuthorization: Bearer {KEY}\r\n{more}\r\n{body}"
+    )
+
+
+class UpgradeTest(unittest.IsolatedAsyncioTestCase):
+    """A request that offers another protocol is answered like any other."""
+
+    @parameterized.expand(
+        [
+            ("safe", "/list/1", "GET", UPGRADE, ""),
+            ("a web socket", "/list/1", "GET", WEBSOCKET, ""),
+            ("with settings", "/list/1", "GET", SETTINGS, ""),
+            ("once only, without a body", "/book/1", "POST", UPGRADE + "Content-Length: 0\r\n", ""),
+            ("once only, with a body", "/book/1", "POST", UPGRADE + "Content-Length: 3\r\n", "abc"),
+            (
+                "once only, in chunks",
+                "/book/1",
+                "POST",
+                UPGRADE + "Transfer-Encoding: chunked\r\n",
+                "3\r\nabc\r\n0\r\n\r\n",
+            ),
+        ]
+    )
+    async def test_a_request_that_offers_an_upgrade_is_lost(self, _, path, method, more, body):
+        async with Fleet("shop") as fleet:
+            (shop,) = await fleet.serve()
+            host, _, port = shop.cfg.outbound.rpartition(":")
+            for whole in (True, False):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                requests = [
+                    raw(path, method, more, body),
+                    raw("/list/2", "GET", ""),
+                    raw(path, method, more, body),
+                ]
+                data = "".join(requests).encode()
+                for part in [data] if whole else [data[n : n + 7] for n in range(0, len(data), 7)]:
+                    writer.write(part)
+                    await writer.drain()
+                for _number in requests:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    self.assertTrue(head.startswith(b"HTTP/1.1 200 "), head)
+                    self.assertEqual(b"done", await reader.readexactly(4))
+                writer.close()
+            runs, bodies = shop.target.runs, shop.target.bodies
+            self.assertEqual(6, len(runs))
+            self.assertFalse([run for run in runs if run.keys() & {"upgrade", "http2-settings"}])
+            sent = b"abc" if "abc" in body else b""
+            self.assertEqual([sent, b"", sent] * 2, bodies)
+
+    async def test_what_follows_a_tunnel_request_is_no_request(self):
+        async with Fleet("shop") as fleet:
+            (shop,) = await fleet.serve()
+            host, _, port = shop.cfg.outbound.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            data = raw("elsewhere:443", "CONNECT", "") + raw(
+                "/book/1", "POST", "Content-Length: 0\r\n"
+            )
+            writer.write(data.encode())
+            answer = await reader.read()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 400 "))
+            self.assertEqual((1, 0), (answer.count(b"HTTP/1.1 "), len(shop.target.runs)))
+            writer.close()
