Platform: SIGHUP while a process starts does not end it

Cause: only SIGTERM had a handler before the event loop runs. Change: SIGHUP is ignored until then; the settings are read later and a change is seen anyway. Evidence: test_sighup_while_starting_ends_the_process failed before (exit by signal 1).

--- a/beryldrum/platform/__main__.py
+++ b/beryldrum/platform/__main__.py
@@ -9,9 +9,10 @@
     sys.exit(0)
 
 
-# Exits at once on SIGTERM until the node's event loop installs its own handler. Set
-# before the imports, which can be slow on a busy host.
+# Until the node's event loop installs its own handlers. Set before the imports, which can
+# be slow on a busy host. The settings are read after that, and again when they change.
 signal.signal(signal.SIGTERM, _exit)
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import asyncio  # noqa: E402
 
--- a/tests/test_mesh_operators.py
+++ b/tests/test_mesh_operators.py
@@ -168,7 +168,7 @@
 
 
 class StartTest(TestCase):
-    """A process that receives SIGTERM before its node runs exits with 0."""
+    """A process that receives SIGTERM before its node runs exits with 0; SIGHUP ends none."""
 
     def test_sigterm_while_starting(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -182,3 +182,19 @@
             with open(path, "w"):
                 process.send_signal(signal.SIGTERM)
                 self.assertEqual(0, process.wait(60))
+
+    def test_sighup_while_starting_ends_the_process(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "node.yaml")
+            os.mkfifo(path)
+            process = subprocess.Popen(
+                [sys.executable, "-m", "beryldrum.platform"],
+                env=os.environ | {"BERYLDRUM_NODE_FILE": path},
+            )
+            with open(path, "w"):
+                for _ in range(3):
+                    process.send_signal(signal.SIGHUP)
+                with self.assertRaises(subprocess.TimeoutExpired):
+                    process.wait(0.5)
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(0, process.wait(60))
