Mesh: a stopping node waits until its answers are taken

Cause: drain waited for requests, not for write buffers. Change: it waits for those too, of callers and of nodes, within its time.

--- a/beryldrum/mesh/http.py
+++ b/beryldrum/mesh/http.py
@@ -372,6 +372,10 @@
         elif now - self.active_at > limits.idle_s + SWEEP_INTERVAL_S:
             self.close()
 
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes of answers that the client has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
@@ -422,6 +426,10 @@
         for conn in list(self.connections):
             conn.sweep(now)
 
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes of answers that clients have not taken yet."""
+        return sum(conn.unsent_bytes() for conn in self.connections)
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for conn in list(self.connections):
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -786,9 +786,9 @@
     async def drain(self) -> None:
         """Stop accepting requests after ``DRAIN_ACCEPT_S`` and wait for those that run.
 
-        Requests that are accepted while the node stops must end before it does. Returns
-        when none is left, at the latest ``KILL_MARGIN_S`` before ``stop_s`` is over, when
-        those that still run are answered as unknown.
+        Requests that are accepted while the node stops must end before it does, and their
+        answers be taken. Returns when none is left, at the latest ``KILL_MARGIN_S`` before
+        ``stop_s`` is over, when those that still run are answered as unknown.
         """
         began = self.clock.now()
         self.stopping = self.entry.stopping = True
@@ -803,13 +803,19 @@
                 self.target.stopping = True
                 self._broadcast_state()
             self.entry.refuses_new = waited >= DRAIN_ACCEPT_S
-            if self.entry.refuses_new and not self.target.in_flight and not self.entry.in_flight:
+            running = self.target.in_flight or self.entry.in_flight or self._unsent_bytes()
+            if self.entry.refuses_new and not running:
                 break
             await asyncio.sleep(0.05)
         leaving.cancel()
         await self.entry.end_requests()
         self._logger.info("stopped", runs=self.target.in_flight, requests=self.entry.in_flight)
 
+    def _unsent_bytes(self) -> int:
+        """Return the number of bytes of answers that are not sent to callers or nodes yet."""
+        links = sum(link.unsent_bytes() for link in self._incoming_links)
+        return links + sum(listener.unsent_bytes() for listener in self._listeners)
+
     async def _deregister(self) -> None:
         try:
             await self._store.deregister(self.member.address)
--- a/beryldrum/standin/endpoint.py
+++ b/beryldrum/standin/endpoint.py
@@ -61,6 +61,7 @@
     def __init__(self, target_id: str = "i-1") -> None:
         self.target_id = target_id
         self.script: deque[str] = deque()
+        self.body = b"done"
         self.runs: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
         self.notices = ""
@@ -131,7 +132,7 @@
             await asyncio.sleep(int(req.headers["x-deadline-milliseconds"]) / 1000)
             writer.write(_response(504, request_id, b"expired", signature))
             return
-        response = _response(200, request_id, b"done", signature)
+        response = _response(200, request_id, self.body, signature)
         if behaviour == "cut":
             writer.close()
         elif behaviour == "head":
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -658,6 +658,13 @@
         "            return data[exc.args[0] :]\n",
         "tests/test_mesh_requests.py::UpgradeTest",
     ),
+    Mutant(
+        "mesh: a stop waits until answers are taken",
+        "mesh/node.py",
+        " or self._unsent_bytes()\n",
+        "\n",
+        STOP + "PlannedStopTest",
+    ),
 )
 
 
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 import unittest
 
 from parameterized import parameterized
@@ -12,6 +13,10 @@
 NUMBERS = itertools.count(1)
 PERIOD_S = 0.05
 STOP_S = 4.0
+LARGE_BYTES = 15_000_000
+"""More than what the buffers of a connection hold."""
+READ_S = 4.5
+"""Time for which the answer is read, shorter than the node's time for stopping."""
 CALLED = route("called", "/called/", "shop", public=True, target_latency_ms=300)
 
 
@@ -143,3 +148,48 @@
             for run in shop.target.runs:
                 self.assertLess(int(run["x-deadline-milliseconds"]), 1500)
             await draining
+
+    @parameterized.expand([("of this host", 0), ("of another", 1)])
+    async def test_an_answer_that_is_still_being_read_is_cut(self, _, number):
+        async with Fleet("shop", "stock", stop_s=6.0, memory_mb=300) as fleet:
+            shop, _stock = hosts = await fleet.serve()
+            shop.target.body = b"x" * LARGE_BYTES
+            node = hosts[number].node
+            host, _, port = hosts[number].cfg.outbound.rpartition(":")
+            conns = []
+            for _number in range(2):
+                sock = socket.socket()
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+                sock.setblocking(False)
+                await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+                reader, writer = await asyncio.open_connection(sock=sock, limit=65_536)
+                head = (
+                    f"GET /list/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: k{next(NUMBERS)}\r\n"
+                    f"X-Deadline-Milliseconds: 9000\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+                )
+                writer.write(head.encode())
+                conns.append((reader, writer))
+            await until(lambda: node.entry.in_flight == 0 and node._unsent_bytes() > 0)
+
+            async def stop():
+                await node.drain()
+                # The end of the process discards what it still holds.
+                for listener in node._listeners:
+                    for conn in list(listener.connections):
+                        conn._transport.abort()
+
+            async def read(reader, writer):
+                size = 0
+                with contextlib.suppress(ConnectionError):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    self.assertTrue(head.startswith(b"HTTP/1.1 200 "))
+                    while size < LARGE_BYTES and (data := await reader.read(LARGE_BYTES // 80)):
+                        size += len(data)
+                        await asyncio.sleep(READ_S * len(data) / LARGE_BYTES)
+                writer.close()
+                return size
+
+            stopping = asyncio.create_task(stop())
+            sizes = await asyncio.gather(*(read(*conn) for conn in conns))
+            self.assertEqual([LARGE_BYTES] * 2, sizes)
+            await stopping
