Mesh: the caller's service is that of newer settings

Cause: what the last target announced went before the settings. Change: a target known when the settings' service changes no longer counts.

--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -226,6 +226,8 @@
         )
         self.metrics = MeshMetrics(self.quotas.states, self._target_state)
         self.stopping = False
+        self._replaced_target: Announcement | None = None
+        """The target whose service is no longer that of the settings."""
         self._deadlines = Deadlines()
         self._heartbeat_sequence = itertools.count(1)
         self._state_encoded_at = float("-inf")
@@ -295,7 +297,7 @@
             checks,
             attempts,
             self.homes,
-            lambda: self.target.service or self.cfg.service,
+            self._caller_service,
             self.explainer,
             self.metrics.count_request,
             self._rng,
@@ -307,6 +309,21 @@
 
     # Decisions that combine several components.
 
+    def _caller_service(self) -> str:
+        """Return the service of this host: what its target announces or the settings say."""
+        target = self.target.announcements.current
+        replaced = self._replaced_target
+        if target is None or (replaced is not None and target.same_start(replaced)):
+            return self.cfg.service
+        return target.service
+
+    def apply_settings(self, cfg: MeshSettings) -> None:
+        """Use settings that were read again."""
+        if cfg.service != self.cfg.service:
+            # Another target will announce itself; until then the settings are newer.
+            self._replaced_target = self.target.announcements.current
+        self.cfg = cfg
+
     def _record_call(self, route: Route, request_id: str) -> tuple[int, bool]:
         """Record a call that the local target makes.
 
@@ -873,7 +890,7 @@
             continue
         requested.clear()
         try:
-            node.cfg = read_settings()
+            node.apply_settings(read_settings())
             node.explainer.event("settings reloaded", service=node.cfg.service)
         except SettingsError as exc:
             node.explainer.event("settings reload failed; previous ones kept", error=str(exc))
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -665,6 +665,13 @@
         "\n",
         STOP + "PlannedStopTest",
     ),
+    Mutant(
+        "mesh: the settings name the caller after they changed",
+        "mesh/node.py",
+        "            self._replaced_target = self.target.announcements.current\n",
+        "            pass\n",
+        REQUESTS + "test_the_caller_is_the_service_before_the_settings_changed",
+    ),
 )
 
 
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -97,6 +97,27 @@
             self.assertEqual("b", run["x-a"])
             self.assertLessEqual(int(run["x-deadline-milliseconds"]), 3000)
 
+    async def test_the_caller_is_the_service_before_the_settings_changed(self):
+        async with Fleet("shop", "stock") as fleet:
+            shop, stock = await fleet.serve()
+            born = stock.node.target.announcements.current.born_ms
+
+            async def caller():
+                await stock.ask()
+                return shop.target.runs[-1]["x-caller-service"]
+
+            self.assertEqual("stock", await caller())
+            stock.node.apply_settings(stock.cfg._replace(service="shop"))
+            self.assertEqual("shop", await caller())
+            # A late heartbeat of the target that was replaced, and the first of the new one.
+            await stock.announce(sequence=9, born=born)
+            self.assertEqual("shop", await caller())
+            stock.node.apply_settings(stock.cfg._replace(service="shop", log_level="debug"))
+            self.assertEqual("shop", await caller())
+            stock.target.target_id = "i-9"
+            await stock.announce(sequence=1, born=born + 1)
+            self.assertEqual("stock", await caller())
+
     @parameterized.expand(
         [
             ("an unknown key", "/list/1", {"key": "k-2"}, 401),
