--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -196,7 +196,7 @@
     async def test_a_leaving_target_gets_nothing_new(self):
         async with Fleet("shop", "shop") as fleet:
             one, two = await fleet.serve()
-            await one.announce(sequence=2, state="draining", born=10**15)
+            await one.announce(sequence=2, state="draining", born=one.node.clock.wall_ms() + 1)
             for _ in range(20):
                 self.assertEqual(200, (await one.ask()).status)
             self.assertEqual([], one.target.runs)
