--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -57,6 +57,7 @@
         self._rates = rates
         self._target = target
         self._buckets: Counter[int] = Counter()
+        self._longest_hold_s = 0.0
         self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
 
     def count_request(self, outcome: str, seconds: float) -> None:
@@ -65,6 +66,10 @@
         if seconds:
             self._buckets[min(MAX_BUCKET, int(seconds * 1e6 / BUCKET_US))] += 1
 
+    def record_hold(self, seconds: float) -> None:
+        """Record for how long the event loop ran nothing else, or the process was paused."""
+        self._longest_hold_s = max(self._longest_hold_s, seconds)
+
     def text(self) -> str:
         """Return the metrics in the Prometheus text format."""
         for bucket, count in self._buckets.items():
@@ -78,6 +83,9 @@
             seconds = self._histogram.get_value_at_percentile(quantile) / 1e6
             lines.append(f'beryldrum_answer_seconds{{quantile="{quantile / 100:g}"}} {seconds:g}')
         lines.append(f"beryldrum_answer_seconds_count {self._histogram.get_total_count()}")
+        lines.append("# TYPE beryldrum_loop_hold_seconds gauge")
+        lines.append(f"beryldrum_loop_hold_seconds {self._longest_hold_s:g}")
+        self._longest_hold_s = 0.0
         lines += self._target_lines() + self._rate_lines()
         return "\n".join(lines) + "\n"
 
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -138,6 +138,9 @@
 MAX_CLOCK_ERROR_MS = 3_600_000
 """Time in the future above which a stated start of a target cannot be true."""
 
+LONG_HOLD_S = 0.5
+"""Time for which something may hold the event loop before it is logged."""
+
 LOAD_LOG_S = 1.0
 """Shortest interval between log lines about overload."""
 
@@ -715,8 +718,11 @@
     # Housekeeping.
 
     async def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            due = loop.time() + TICK_S
             await asyncio.sleep(TICK_S)
+            self._record_hold(loop.time() - due)
             self.quotas.share = self.directory.reachable_share()
             self.quotas.tick(self.directory.reports(), self.directory.local_reports())
             self.graph.tick(self.directory.calls())
@@ -735,6 +741,12 @@
                 listener.sweep()
             self._log_load()
 
+    def _record_hold(self, seconds: float) -> None:
+        """Record by how much a timer was late, which shows what held the event loop."""
+        self.metrics.record_hold(seconds)
+        if seconds > LONG_HOLD_S:
+            self.explainer.event("event loop held", seconds=round(seconds, 2))
+
     def _log_load(self) -> None:
         """Log the gate's load and the admitted shares while there is an overload."""
         load, now = self.target.load(), self.clock.now()
--- a/tests/test_mesh_operators.py
+++ b/tests/test_mesh_operators.py
@@ -106,6 +106,13 @@
         self.assertIn('beryldrum_requests_total{outcome="overloaded"} 1', text)
         self.assertIn('beryldrum_answer_seconds{quantile="0.99"} 0.02', text)
 
+    def test_a_hold_of_the_event_loop(self):
+        metrics = MeshMetrics()
+        for seconds in (0.001, 2.5, 0.3):
+            metrics.record_hold(seconds)
+        self.assertIn("beryldrum_loop_hold_seconds 2.5\n", metrics.text())
+        self.assertIn("beryldrum_loop_hold_seconds 0\n", metrics.text())
+
     def test_rates(self):
         clock = ManualClock()
         quotas = Quotas(clock, random.Random(1))
