Mesh: keys of other writers, links and reloads that fail alone

Change: keys are quoted, a page that does not go on is the last, links are kept, and departures have keys without a space.

--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -517,9 +517,19 @@
         link = self._links[address] = Link(address, self._on_state, self._deadlines)
         link.used_at = asyncio.get_running_loop().time()
         peer.unanswered_s = link.silent_s
-        self._link_tasks[address] = asyncio.create_task(self._maintain_link(peer, link))
+        self._link_tasks[address] = asyncio.create_task(self._keep_link(peer, link))
         return link
 
+    async def _keep_link(self, peer: Peer, link: Link) -> None:
+        """Maintain a connection, and go on after an unexpected error."""
+        while True:
+            try:
+                return await self._maintain_link(peer, link)
+            except Exception as exc:
+                self._logger.critical("link failed", peer=peer.member.address, error=repr(exc))
+            link.abort()
+            await asyncio.sleep(RECONNECT_MAX_S)
+
     def _is_needed(self, peer: Peer, link: Link) -> bool:
         """Tell whether the connection to a node should be open."""
         if self.directory.peers.get(peer.member.address) is not peer:
@@ -904,5 +914,5 @@
         try:
             node.apply_settings(read_settings())
             node.explainer.event("settings reloaded", service=node.cfg.service)
-        except SettingsError as exc:
+        except (SettingsError, ValueError, RecursionError) as exc:
             node.explainer.event("settings reload failed; previous ones kept", error=str(exc))
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -4,6 +4,7 @@
 import struct
 import time
 from typing import Annotated, NamedTuple
+from urllib.parse import quote
 
 import msgspec
 
@@ -18,7 +19,7 @@
 OPERATOR_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 MEMBERS_TOPIC = "keyed.beryldrum-nodes"
-DEPARTURES_PREFIX = "left "
+DEPARTURES_PREFIX = "left:"
 """Begins the keys of departures, in the topic of the members: one read returns both."""
 
 TIMEOUT_S = 1.0
@@ -129,12 +130,13 @@
             page = await self._page(MEMBERS_TOPIC, after)
             for item in page.items:
                 _add_to_registry(item, found)
-            more = page.has_more and bool(page.items)
-            after = page.items[-1].key if page.items else ""
+            last = page.items[-1].key if page.items else ""
+            more, after = page.has_more and last > after, last
         return found
 
     async def _page(self, topic: str, after: str) -> _LatestPage:
-        cursor = f"&after={after}" if after else ""
+        # Another writer's key may contain anything.
+        cursor = f"&after={quote(after, safe=':')}" if after else ""
         response = await self._call("GET", f"/log-newest?topic={topic}&part=0{cursor}")
         try:
             return _page_decoder.decode(response.body)
--- a/tests/test_mesh_odd_input.py
+++ b/tests/test_mesh_odd_input.py
@@ -102,6 +102,30 @@
                 known = {*shop.node.directory.peers, shop.cfg.nodes}
                 self.assertEqual(expected, known)
 
+    @parameterized.expand(
+        [
+            ("spaces", "0 %d x"),
+            ("separators", "0&topic=x&after=%d"),
+            ("line ends", "0\r\n\r\n%d"),
+            ("letters beyond ASCII", "0\u00e9\U0001f600%d"),
+            ("percent signs", "0%%20%d"),
+        ]
+    )
+    async def test_a_page_that_ends_with_an_odd_key_is_the_last(self, _, pattern):
+        with NoExit() as no_exit:
+            async with Fleet("shop", "stock") as fleet:
+                topic = fleet.store.topic(MEMBERS_TOPIC)
+                for number in range(1200):
+                    key = (pattern % number).encode()
+                    topic.add(bytes((len(key),)) + key + b"x", keyed=True)
+                shop, stock = await fleet.serve()
+                registry = await shop.store.registry()
+                self.assertEqual(1200, len(registry.unreadable))
+                expected = {shop.cfg.nodes, stock.cfg.nodes}
+                self.assertEqual(expected, {member.address for member in registry.members})
+                self.assertEqual(200, (await stock.ask()).status)
+                no_exit.check(self, fleet)
+
     @parameterized.expand(
         [
             ("very deep", DEEP_JSON),
@@ -181,6 +205,11 @@
             ("a page that is very deep in a field", "/log-newest", b'{"x":' + DEEP_JSON + b"}"),
             ("a value in no base64", "/log-newest", page({"key": "config", "value": "\u00e9!"})),
             ("a value of another type", "/log-newest", page({"key": "config", "value": 7})),
+            (
+                "always one more page",
+                "/log-newest",
+                b'{"items":[{"key":"z","value":"eA=="}],"has_more":true,"end_offset":1}',
+            ),
             (
                 "an offset too large",
                 "/log-newest",
@@ -433,6 +462,21 @@
                 no_exit.check(self, fleet)
 
 
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """A connection to another node is kept after an error that nobody expected."""
+
+    async def test_an_unexpected_error_ends_a_link(self):
+        async with Fleet("shop", "stock") as fleet:
+            shop, stock = await fleet.serve()
+            peer = stock.node.directory.peers[shop.cfg.nodes]
+            with mock.patch.object(stock.node, "_on_disconnect", side_effect=ZeroDivisionError):
+                stock.node._links[shop.cfg.nodes].abort()
+                await until(lambda: not stock.node._links[shop.cfg.nodes].open)
+                await asyncio.sleep(0.1)
+            await until(lambda: peer.connected and stock.node._links[shop.cfg.nodes].open)
+            self.assertEqual(200, (await stock.ask()).status)
+
+
 class LogTest(unittest.TestCase):
     """Lines of the log about odd values, and a log that nobody reads any more."""
 
