Mesh: departures are read before they are replaced, and named by addresses

A record replaces that of the process before, so a node that could write to the store but not read it yet dropped departures that were confirmed earlier; it now confirms none before it has read them. Departures under another writer's odd key could not be removed and failed the task that tried: such keys are not read as departures.

--- a/beryldrum/mesh/departures.py
+++ b/beryldrum/mesh/departures.py
@@ -40,6 +40,7 @@
         self._departures = departures
         self._recorded: dict[str, int] = {}
         """What the store is known to have."""
+        self._restored = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -50,6 +51,7 @@
     def restore(self, targets: dict[str, int]) -> None:
         """Note what the store had when this process started."""
         self._recorded = targets | self._recorded
+        self._restored.set()
 
     async def record(self, timeout_s: float) -> bool:
         """Record all departures; returns whether the store has them within ``timeout_s``.
@@ -63,6 +65,8 @@
         return self.complete
 
     async def _write(self) -> None:
+        # A record replaces the one of an earlier process, which has to be read before.
+        await self._restored.wait()
         while not self.complete:
             targets = self._departures()
             try:
--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -16,6 +16,7 @@
 __all__ = [
     "LENGTH",
     "MAX_FRAME_BYTES",
+    "Address",
     "Cancel",
     "Document",
     "DocumentRequest",
--- a/beryldrum/platform/store.py
+++ b/beryldrum/platform/store.py
@@ -11,7 +11,7 @@
 from ..errors import AnswerLostError, LogDownError, LogUnresponsiveError, TargetUnreachedError
 from ..mesh.client import Pool, Response
 from ..mesh.decoding import DECODE_ERRORS
-from ..mesh.frames import Member
+from ..mesh.frames import Address, Member
 from ..mesh.store import Departures, Registry, Store, Watch
 
 __all__ = ["PlatformStore"]
@@ -185,7 +185,7 @@
         value = base64.b64decode(item.value)
         if item.key.startswith(DEPARTURES_PREFIX):
             record = _departures_decoder.decode(value)
-            address = item.key.removeprefix(DEPARTURES_PREFIX)
+            address = msgspec.convert(item.key.removeprefix(DEPARTURES_PREFIX), Address)
             registry.departures[address] = Departures(record.targets, record.recorded_ms)
         else:
             registry.members.append(_member_decoder.decode(value))
--- a/tests/test_mesh_departures.py
+++ b/tests/test_mesh_departures.py
@@ -10,9 +10,11 @@
 from testtools import TestCase
 
 from beryldrum.clock import ManualClock
+from beryldrum.errors import LogDownError
 from beryldrum.mesh.local_target import UNCONFIRMED_S, LocalTarget
 from beryldrum.mesh.store import Departures
 from beryldrum.mesh.target import DRAINING, READY, Announcement, AnnouncementTracker
+from beryldrum.platform.store import PlatformStore
 from beryldrum.standin.platform import StoreFaults
 
 from .mesh_fleet import Fleet, call, until
@@ -132,6 +134,35 @@
             left = (await shop.store.registry()).departures
             self.assertEqual({"10.0.0.2:1", shop.cfg.nodes}, set(left))
 
+    async def test_a_record_hides_that_of_the_process_before(self):
+        async with Fleet("shop", "stock") as fleet:
+            shop, _stock = await fleet.serve()
+            born = shop.node.target.announcements.current.born_ms
+            self.assertEqual(200, await leave(shop, "draining", born))
+            await shop.node.close()
+            # The store can be written again before it has been read.
+            with mock.patch.object(PlatformStore, "registry", side_effect=LogDownError("down")):
+                await shop.start()
+                path = DEREGISTER + "i-other"
+                self.assertEqual(503, (await call(shop.cfg.control, "POST", path)).status)
+            await until(lambda: shop.node.departures.complete)
+            recorded = (await shop.store.registry()).departures[shop.cfg.nodes].targets
+            self.assertEqual({shop.target.target_id, "i-other"}, set(recorded))
+
+    async def test_departures_under_odd_keys_are_removed_again_and_again(self):
+        async with Fleet("shop") as fleet:
+            (shop,) = await fleet.serve()
+            topic = fleet.store.topic(MEMBERS_TOPIC)
+            for odd in ("\u00e9" * 100, "x" * 250, "127.0.0.1:99999", ""):
+                key = f"left:{odd}".encode()
+                value = msgspec.msgpack.encode([{"i-9": 1}, 1])
+                topic.add(bytes((len(key),)) + key + value, keyed=True)
+            registry = await shop.store.registry()
+            self.assertEqual((4, {}), (len(registry.unreadable), registry.departures))
+            before = topic.end
+            await shop.node._remove_old_departures(registry)
+            self.assertEqual(before, topic.end)
+
     @parameterized.expand(
         [
             ("no record", b"\xc1"),
