--- a/beryldrum/mesh/lines.py
+++ b/beryldrum/mesh/lines.py
@@ -40,7 +40,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody can read the lines any more, and there is no other place for them.
+                # The reader has gone, and there is no other place for the lines.
                 self.dropped += self._buffer.count(b"\n")
                 self._buffer.clear()
                 return
