Tests: peers tell a restarted node of a departure while the store is away

The mutant 'peers hear that a target has deregistered' survived since the store tells it too. The test is now played with the store away as well, where only peers know, over more time than a held heartbeat waits; the mutant is refuted again.

--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -3,18 +3,23 @@
 import asyncio
 import time
 import unittest
+from contextlib import nullcontext
+from unittest import mock
 
 from parameterized import parameterized
 from testtools import TestCase
 
 from beryldrum.clock import ManualClock
+from beryldrum.errors import LogDownError
 from beryldrum.mesh.client import Response
 from beryldrum.mesh.conventions import TargetNotice
 from beryldrum.mesh.frames import Run, TargetStatus
 from beryldrum.mesh.gate import CALL_PRIORITY, Admission, Gate, RunRequest
+from beryldrum.mesh.local_target import UNCONFIRMED_S
 from beryldrum.mesh.stated_limit import StatedLimit
 from beryldrum.mesh.target import READY, Announcement
 from beryldrum.platform.conventions import PlatformAdapter
+from beryldrum.platform.store import PlatformStore
 
 from .mesh_fleet import KEY, Fleet, call, config, until
 
@@ -290,7 +295,8 @@
                 self.assertEqual(200, (await shop.ask()).status)
                 self.assertIsNone(target.rate_limit)
 
-    async def test_a_target_that_has_deregistered_is_in_use_after_a_restart(self):
+    @parameterized.expand([("the store knows", False), ("only other nodes know", True)])
+    async def test_a_target_that_has_deregistered_is_in_use_after_a_restart(self, _, store_away):
         async with Fleet("shop", "shop") as fleet:
             one, two = await fleet.serve()
             born = one.node.target.announcements.current.born_ms
@@ -300,13 +306,19 @@
             await until(lambda: not known.load.service)
             await one.node.close()
             await until(lambda: not known.connected)
-            await one.start()
-            await until(lambda: known.connected)
-            # A heartbeat from before the deregistration arrives late.
-            await one.announce(sequence=7, born=born)
-            for _number in range(5):
-                await two.ask()
-            await one.ask()
+            down = mock.AsyncMock(side_effect=LogDownError("down"))
+            with (
+                mock.patch.object(PlatformStore, "registry", down) if store_away else nullcontext()
+            ):
+                await one.start()
+                await until(lambda: known.connected)
+                # Heartbeats from before the deregistration arrive late, over some time.
+                for sequence in (7, 8, 9):
+                    await one.announce(sequence=sequence, born=born)
+                    await asyncio.sleep(UNCONFIRMED_S / 2 if store_away else 0.0)
+                for _number in range(5):
+                    await two.ask()
+                await one.ask()
             self.assertEqual([], one.target.runs)
 
     async def test_a_new_start_inherits_the_statements_of_the_last(self):
