--- a/tests/test_mesh_operators.py
+++ b/tests/test_mesh_operators.py
@@ -174,34 +174,34 @@
         self.assertEqual((1, []), self.explain("r9"))
 
 
+@contextlib.contextmanager
+def starting_node():
+    """Yield the process of a node that waits for its settings."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "node.yaml")
+        os.mkfifo(path)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "beryldrum.platform"],
+            env=os.environ | {"BERYLDRUM_NODE_FILE": path},
+        )
+        # The FIFO opens once the process reads its settings; nothing is written to it.
+        with open(path, "w"):
+            yield process
+
+
 class StartTest(TestCase):
     """A process that receives SIGTERM before its node runs exits with 0; SIGHUP ends none."""
 
     def test_sigterm_while_starting(self):
-        with tempfile.TemporaryDirectory() as folder:
-            path = os.path.join(folder, "node.yaml")
-            os.mkfifo(path)
-            process = subprocess.Popen(
-                [sys.executable, "-m", "beryldrum.platform"],
-                env=os.environ | {"BERYLDRUM_NODE_FILE": path},
-            )
-            # The FIFO opens once the process reads its settings; nothing is written to it.
-            with open(path, "w"):
-                process.send_signal(signal.SIGTERM)
-                self.assertEqual(0, process.wait(60))
+        with starting_node() as process:
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(0, process.wait(60))
 
     def test_sighup_while_starting_ends_the_process(self):
-        with tempfile.TemporaryDirectory() as folder:
-            path = os.path.join(folder, "node.yaml")
-            os.mkfifo(path)
-            process = subprocess.Popen(
-                [sys.executable, "-m", "beryldrum.platform"],
-                env=os.environ | {"BERYLDRUM_NODE_FILE": path},
-            )
-            with open(path, "w"):
-                for _ in range(3):
-                    process.send_signal(signal.SIGHUP)
-                with self.assertRaises(subprocess.TimeoutExpired):
-                    process.wait(0.5)
-                process.send_signal(signal.SIGTERM)
-                self.assertEqual(0, process.wait(60))
+        with starting_node() as process:
+            for _ in range(3):
+                process.send_signal(signal.SIGHUP)
+            with self.assertRaises(subprocess.TimeoutExpired):
+                process.wait(0.5)
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(0, process.wait(60))
