--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -15,7 +15,7 @@
 from ..clock import Clock, SystemClock
 from ..errors import LogError, PeerLostError, SettingsError
 from .admission import AdmissionController
-from .budget import RetryBudget
+from .capacity import ServiceCapacity
 from .configuration import ConfigurationState
 from .conventions import Deregistration, TargetMessage, WireAdapter
 from .deadlines import Deadlines
@@ -113,10 +113,6 @@
 """Subtracted from the time within which a withdrawn key must stop working, to allow for
 clocks that run at different speeds and for the transfer of a request to its target."""
 
-RETRY_SHARE = 0.85
-"""Share of the fleet's retry budget that is used. The rest covers the calls of retried
-requests, which count as retries at the services that they go to."""
-
 DRAIN_GATE_S = 2.0
 """Time for which a stopping node still accepts work for its target, which only this node
 can reach."""
@@ -236,7 +232,6 @@
         self._state_encoded_at = float("-inf")
         self._state_frame = b""
         self._brief_frame = b""
-        self._budgets: dict[str, RetryBudget] = {}
         self._links: dict[str, Link] = {}
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._run_tasks: dict[tuple[LinkProtocol, int], asyncio.Task[None]] = {}
@@ -248,6 +243,9 @@
         self.homes = RateHomes(
             self.quotas, self.directory, self.explainer, self._request, self._notify
         )
+        self.capacity = ServiceCapacity(
+            self.clock, self.directory, self.graph, self.target.load, lambda: self.cfg
+        )
         self.entry = self._make_entry()
         self.configuration.on_change.append(self._on_configuration)
         self.follower = Follower(
@@ -278,7 +276,7 @@
         )
 
     def _make_entry(self) -> Entry:
-        self.admission = AdmissionController(self.clock, self._rng, self._utilisation)
+        self.admission = AdmissionController(self.clock, self._rng, self.capacity.utilisation)
         checks = [
             KeyCheck(self.configuration, self._max_confirmation_age_s),
             AdmissionCheck(self.admission, self.graph, self._retry_after_ms),
@@ -289,8 +287,8 @@
             LoadBalancer(self.clock, self._rng, self.cfg.data_centre),
             self.target.load_for,
             self._send,
-            self._may_retry,
-            self._budget,
+            self.capacity.may_retry,
+            self.capacity.budget,
             self._adapter.root_request_id,
         )
         return Entry(
@@ -336,38 +334,6 @@
         self.graph.record_call(route.name, run.route if run else "")
         return (call_priority(run.priority), run.is_retry) if run else (CALL_PRIORITY, False)
 
-    def _budget(self, service: str) -> RetryBudget:
-        # The ratio needs no division by nodes, since it applies to this node's requests.
-        budget = self._budgets.get(service)
-        if budget is None:
-            ratio = self.cfg.retry_ratio * RETRY_SHARE
-            budget = self._budgets[service] = RetryBudget(self.clock, ratio, self._retry_slack())
-        return budget
-
-    def _retry_slack(self) -> float:
-        nodes = len(self.directory.peers) + 1
-        return self.cfg.retry_slack * RETRY_SHARE / nodes
-
-    def _utilisation(self, service: str) -> float | None:
-        """Return the mean utilisation of a service's targets, None if it has no target."""
-        loads = [p.load for p in self.directory.serving(service)]
-        own = self.target.load()
-        if own.service == service:
-            loads.append(own)
-        total = sum(load.limit for load in loads)
-        return sum(load.full * load.limit for load in loads) / total if total else None
-
-    def _may_retry(self, route: Route) -> bool:
-        """Tell whether a request that failed at its target may be retried.
-
-        It may if the targets have spare capacity and the route is not known to make calls.
-        With calls the failure may be that of a call, which is retried where it is made,
-        and a retry of the request would make all its calls again.
-        """
-        loads = [self._utilisation(part.service) for part in route.service_weights]
-        spare = all(used is not None and used < 1.0 for used in loads)
-        return spare and self.graph.is_leaf(route)
-
     def _retry_after_ms(self, priority: int) -> int:
         # Less important requests are delayed longer; the delay is random to spread retries.
         rank = priority // request.COHORTS
@@ -736,9 +702,7 @@
             self.quotas.share = self.directory.reachable_share()
             self.quotas.tick(self.directory.reports(), self.directory.local_reports())
             self.graph.tick(self.directory.calls())
-            for budget in self._budgets.values():
-                # The number of known nodes grows after the start, which lowers the slack.
-                budget.slack = self._retry_slack()
+            self.capacity.tick()
             if self.target.tick():
                 self.explainer.event("target silent")
                 self._broadcast_state()
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -70,7 +70,7 @@
     async def test_a_failure_is_not_repeated_while_a_service_is_short_of_room(self):
         async with Fleet("shop", "shop") as fleet:
             hosts = await fleet.serve()
-            hosts[0].node._utilisation = lambda service: 1.2
+            hosts[0].node.capacity.utilisation = lambda service: 1.2
             for host in hosts:
                 host.target.script.append("fail")
             self.assertEqual(500, (await hosts[0].ask()).status)
