--- a/beryldrum/mesh/document.py
+++ b/beryldrum/mesh/document.py
@@ -4,9 +4,10 @@
 :class:`~beryldrum.errors.DocumentError` for anything else.
 """
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
-__all__ = ["FleetDocument", "Limits", "Organisation", "Route", "WeightedService"]
+__all__ = ["FleetDocument", "Limits", "Organisation", "Route", "Service", "WeightedService"]
 
 
 class WeightedService(NamedTuple):
@@ -35,6 +36,8 @@
     attempts: int
     priority: int
     open: bool
+    regions: frozenset[str] = frozenset()
+    """The regions in which its requests may be processed; empty for any."""
 
 
 class Organisation(NamedTuple):
@@ -48,6 +51,21 @@
     priority: int | None
     rate_per_s: float
     burst: float
+    regions: frozenset[str] = frozenset()
+    """The regions in which its requests may be processed; empty for any."""
+
+
+class Service(NamedTuple):
+    """A service and what is known of its targets.
+
+    A target that is cold takes ``cold_per_s`` requests per second, 0 for no limit.
+    ``health_path`` is the path of its health page, empty if it has none.
+    """
+
+    name: str
+    health_path: str = ""
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Limits(NamedTuple):
@@ -70,7 +88,7 @@
         self,
         version: int,
         routes: tuple[Route, ...],
-        services: frozenset[str],
+        services: Mapping[str, Service],
         organisations: dict[str, Organisation],
         requires_keys: bool,
         limits: Limits,
@@ -78,6 +96,7 @@
         self.version = version
         self.routes = routes
         self.services = services
+        """Services by name."""
         self.organisations = organisations
         """Organisations by API key; one may have several keys."""
         self.requires_keys = requires_keys
--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -20,6 +20,7 @@
     "Cancel",
     "Document",
     "DocumentRequest",
+    "Evacuation",
     "Grant",
     "GrantRequest",
     "GrantReturn",
@@ -30,6 +31,7 @@
     "Message",
     "NodeLoad",
     "Reply",
+    "RetryDemand",
     "Run",
     "State",
     "Summary",
@@ -111,6 +113,26 @@
     status: TargetStatus | None = None
 
 
+class Evacuation(msgspec.Struct, array_like=True, frozen=True):
+    """Whether the operator has asked that no request goes to a data centre's targets.
+
+    ``era`` and ``position`` are those of the store's record; of two entries the one with the
+    higher pair is newer.
+    """
+
+    data_centre: str
+    evacuated: bool
+    era: Count
+    position: Count
+
+
+class RetryDemand(msgspec.Struct, array_like=True, frozen=True):
+    """The retries per second that a node's calls to a service need, and those it may send."""
+
+    needed_per_s: Amount
+    allowed_per_s: Amount
+
+
 class Run(msgspec.Struct, array_like=True, tag=1):
     """Asks a node to hand a request to its target."""
 
@@ -171,6 +193,11 @@
     stopping: bool = False
     data_centre_count: Count = 0
     """Number of data centres known to a node of a large fleet; 0 in a small fleet."""
+    evacuations: list[Evacuation] = []
+    store_rejected: bool = False
+    """Whether the store does not serve this node, so that it cannot be a reader."""
+    retry_demands: dict[str, RetryDemand] = {}
+    """By service; only services whose retries are short."""
 
 
 class Heartbeat(msgspec.Struct, array_like=True, tag=7):
@@ -236,6 +263,11 @@
     calls: dict[str, Amount]
     version: Version
     proof_ms: Age
+    evacuations: list[Evacuation] = []
+    has_reader: bool = True
+    """Whether the store serves one of the data centre's nodes."""
+    retry_demands: dict[str, RetryDemand] = {}
+    """The sums of the data centre's nodes."""
 
 
 class GrantRequest(msgspec.Struct, array_like=True, tag=11):
--- a/beryldrum/mesh/settings.py
+++ b/beryldrum/mesh/settings.py
@@ -4,6 +4,8 @@
 its line, its field and what was expected.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from ..settings import is_address, parse_with, read_file
@@ -44,6 +46,19 @@
     first_start: bool = False
     """Whether the whole fleet starts for the first time, so that no rate was used before."""
     log_level: str = "info"
+    config_deadline_ms: float = 2_000.0
+    """Time within which a new configuration must be in force on all nodes."""
+    cold_rate_overshoot: float = 0.0
+    """Multiple of a cold target's rate that it may get in any second, 0 for no limit."""
+    cold_rate_slack: float = 0.0
+    """Requests that a cold target may get in any second in addition."""
+    file_descriptors: int = 4_096
+    """Descriptors that the process may have open."""
+    transfer_cost_ms_per_kb: float = 5.0
+    """Price of a kilobyte between data centres, as the time in milliseconds that a caller
+    would rather wait."""
+    regions: Mapping[str, str] = MappingProxyType({})
+    """The region of each data centre."""
 
 
 def _address(section: Section, field: str, default: str | None = None) -> str:
@@ -53,6 +68,12 @@
     return value
 
 
+def _regions(section: Section) -> dict[str, str]:
+    regions = {name: section.string(name) for name in section.names()}
+    section.reject_unknown_fields()
+    return regions
+
+
 def _build(section: Section) -> MeshSettings:
     base = MeshSettings("", "", "", "", "", "", "", "", "", 0)
     cfg = MeshSettings(
@@ -76,6 +97,16 @@
         rate_tolerance_requests=section.number("rate_tolerance_requests", 0, 1_000_000, 0.0),
         first_start=section.boolean("first_start", False),
         log_level=section.choice("log_level", ("debug", "info", "warning", "error"), "info"),
+        config_deadline_ms=section.number(
+            "config_deadline_ms", 500, 86_400_000, base.config_deadline_ms
+        ),
+        cold_rate_overshoot=section.number("cold_rate_overshoot", 0, 100, 0.0),
+        cold_rate_slack=section.number("cold_rate_slack", 0, 1_000_000, 0.0),
+        file_descriptors=section.integer("file_descriptors", 256, 1_048_576, base.file_descriptors),
+        transfer_cost_ms_per_kb=section.number(
+            "transfer_cost_ms_per_kb", 0, 10_000, base.transfer_cost_ms_per_kb
+        ),
+        regions=_regions(section.section("regions")),
     )
     section.reject_unknown_fields()
     return cfg
--- a/beryldrum/platform/documents.py
+++ b/beryldrum/platform/documents.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from ..mesh.document import FleetDocument, Limits, Organisation, Route, WeightedService
+from ..mesh.document import (
+    FleetDocument,
+    Limits,
+    Organisation,
+    Route,
+    Service,
+    WeightedService,
+)
 
 __all__ = ["decode"]
 
@@ -68,10 +75,14 @@
     attempts: _Number = 1
     priority: _Number = 0
     public: bool = False
+    allowed_regions: list[str] = []
 
 
 class _Service(msgspec.Struct):
     name: str
+    health_path: str = ""
+    cold_start_s: _Amount = 0
+    cold_per_s: _Amount = 0
 
 
 class _Organisation(msgspec.Struct):
@@ -80,6 +91,7 @@
     priority: _Number | None = None
     requests_per_s: _Amount = 0
     burst: _Amount = 0
+    allowed_regions: list[str] = []
 
 
 _decoder = msgspec.json.Decoder(_Config)
@@ -98,7 +110,10 @@
     return FleetDocument(
         cfg.version,
         tuple(_route(msgspec.convert(record, _Route)) for record in cfg.routes.records()),
-        frozenset(row.name for row in services),
+        {
+            row.name: Service(row.name, row.health_path, row.cold_start_s, row.cold_per_s)
+            for row in services
+        },
         _organisations(tenants) if tenants else {},
         tenants is not None,
         Limits(
@@ -114,7 +129,13 @@
     found: dict[str, Organisation] = {}
     for record in tenants.records():
         row = msgspec.convert(record, _Organisation)
-        org = Organisation(row.name, row.priority, row.requests_per_s, row.burst)
+        org = Organisation(
+            row.name,
+            row.priority,
+            row.requests_per_s,
+            row.burst,
+            frozenset(row.allowed_regions),
+        )
         # A request without a key has an empty one.
         found.update((key, org) for key in row.api_keys if key)
     return found
@@ -135,4 +156,5 @@
         max(1, row.attempts),
         row.priority,
         row.public,
+        frozenset(row.allowed_regions),
     )
