Mesh: a refusal that a target did not state guarantees nothing (REFUSED)

Callers take 408, 421, 429 and 503 for a guarantee that their request has not run. A target's answer with 408, 429 or 503 and without its statement that it has not run the request was returned unchanged, also for a request that may run only once. Such an answer now counts as unknown (504).

--- a/beryldrum/mesh/conventions.py
+++ b/beryldrum/mesh/conventions.py
@@ -94,6 +94,9 @@
     request_id_header: bytes
     """Lower-case name of the header with the request id, in requests and answers."""
 
+    not_run_statuses: frozenset[int]
+    """Statuses by which a caller knows that its request has not run and never will."""
+
     @abstractmethod
     def parse_request(self, http_request: HttpRequest) -> RequestMetadata | None:
         """Return the metadata of a request, or None if some is missing or malformed."""
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -349,6 +349,9 @@
             return not_run(request.SHED, MIN_RETRY_AFTER_MS, handed=True)
         if kind is ResponseKind.UNVERIFIED:
             return unknown(request.ANSWER_LOST)
+        if not run.idempotent and response.status in self._adapter.not_run_statuses:
+            # The target has not stated that the request has not run, but its status would.
+            return unknown(request.UNSTATED_REFUSAL)
         return answered(response.status, self._adapter.response_headers(response), response.body)
 
     # Statements of the target about itself.
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -103,6 +103,7 @@
     """Translates the platform's headers and bodies."""
 
     request_id_header = REQUEST_ID_LOWER
+    not_run_statuses = frozenset((408, MISDIRECTED, 429, 503))
 
     def parse_request(self, http_request: HttpRequest) -> RequestMetadata | None:
         headers = http_request.headers
@@ -152,7 +153,7 @@
         )
 
     def classify(self, response: Response) -> ResponseKind:
-        if response.status == MISDIRECTED or response.header(NOT_RUN):
+        if response.status == MISDIRECTED or NOT_RUN in response.headers:
             return ResponseKind.NOT_RUN
         if 200 <= response.status < 300 and not response.header(SIGNATURE):
             return ResponseKind.UNVERIFIED
--- a/beryldrum/request.py
+++ b/beryldrum/request.py
@@ -88,6 +88,9 @@
 )
 OUTCOME_NOT_KEPT = Reason("outcome-not-kept", 504, "whether it ran is not known here")
 ANSWER_LOST = Reason("answer-lost", 504, "it may have run, its answer was lost")
+UNSTATED_REFUSAL = Reason(
+    "unstated-refusal", 504, "it may have run, the target refused it without saying that it did not"
+)
 TIMED_OUT = Reason("timeout", 504, "it may have run, no answer came in time")
 CANCELLED = Reason("cancelled", 504, "it was cancelled and may have run")
 
--- a/beryldrum/standin/endpoint.py
+++ b/beryldrum/standin/endpoint.py
@@ -56,6 +56,7 @@
     - ``fail``: run, answer 500
     - ``expire``: work until the time stated in the request is over, then answer 504
     - ``slow``: run, answer after 0.3 s
+    - ``status``, a space and three digits or anything else: run, answer with that status
     """
 
     def __init__(self, target_id: str = "i-1") -> None:
@@ -156,6 +157,10 @@
             writer.close()
         elif behaviour == "unsigned":
             writer.write(_response(200, request_id, b"done", ""))
+        elif behaviour.startswith("status "):
+            status = behaviour.partition(" ")[2]
+            head = f"HTTP/1.1 {status} Status\r\nX-Request-Id: {request_id}\r\n{signature}"
+            writer.write(f"{head}Content-Length: 3\r\n\r\nodd".encode())
         elif behaviour == "fail":
             writer.write(_response(500, request_id, b"broken", signature))
         else:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -672,6 +672,20 @@
         "            pass\n",
         REQUESTS + "test_the_caller_is_the_service_before_the_settings_changed",
     ),
+    Mutant(
+        "mesh: a refusal that the target did not state is no guarantee",
+        "mesh/local_target.py",
+        "if not run.idempotent and response.status in self._adapter.not_run_statuses:",
+        "if False:",
+        "tests/test_mesh_status.py::UnstatedRefusalTest",
+    ),
+    Mutant(
+        "mesh: an invalid status ends the request at once",
+        "mesh/client.py",
+        "        if status < 100 or status == SWITCHING_PROTOCOLS:\n",
+        "        if False:\n",
+        "tests/test_mesh_status.py::InvalidStatusTest",
+    ),
 )
 
 
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -29,7 +29,10 @@
 RATE, BURST = 40.0, 40.0
 STOP_TIMEOUT_S = 6.0
 SERVICES = ("shop", "stock", "shop")
-FAULT_MODES = ("cut", "half", "other", "extra", "full", "hang", "fail", "slow", "head", "stale")
+FAULT_MODES = (
+    "cut", "half", "other", "extra", "full", "hang", "fail", "slow", "head", "stale",
+    "unstated", "odd",
+)  # fmt: skip
 LIMITED_S = 8.0
 """Shortest time for which a limit is stated; it binds after three seconds."""
 
--- a/soak/target.py
+++ b/soak/target.py
@@ -174,7 +174,13 @@
             succeeded = await self._run_request(call, request_id, fault_mode)
         finally:
             self.running -= 1
-        if fault_mode == "hang":
+        if fault_mode == "unstated":
+            status = self._rng.choice((408, 429, 503))
+            writer.write(self._encode(status, request_id, b"", SIGNATURE))
+        elif fault_mode == "odd":
+            status = self._rng.choice((0, 7, 99, 101, 600))
+            writer.write(self._encode(status, request_id, b"", SIGNATURE))
+        elif fault_mode == "hang":
             await reader.read(1)
             writer.close()
         elif fault_mode == "cut":
@@ -238,7 +244,7 @@
 
 
 def _encode_response(status: int, request_id: str, body: bytes, extra_headers: str = "") -> bytes:
-    head = f"HTTP/1.1 {status} Status\r\nX-Request-Id: {request_id}\r\n{extra_headers}"
+    head = f"HTTP/1.1 {status:03} Status\r\nX-Request-Id: {request_id}\r\n{extra_headers}"
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
