Client: an invalid status ends the request at once

A status below 100, a 101 that nobody offered and interim responses without end kept a request waiting until its deadline: they were taken for interim responses. They now fail it when they are read, and the connection is not used again; a safe request may be tried elsewhere. Statuses from 600 to 999 have three digits and are passed on unchanged, as the status is the target's to state.

--- a/beryldrum/mesh/client.py
+++ b/beryldrum/mesh/client.py
@@ -30,6 +30,11 @@
 MAX_RESPONSE_BYTES = 16 * 2**20
 """Bytes that may come in answer to one request; a faulty target may send without end."""
 
+MAX_INTERIM_RESPONSES = 16
+"""Interim responses (1xx) that may come before the answer to one request."""
+
+SWITCHING_PROTOCOLS = 101
+
 KEEP_ALIVE_MARGIN_S = 1.0
 """Margin subtracted from the keep-alive time of a peer, which is in whole seconds."""
 
@@ -52,6 +57,10 @@
     """The headers of an answer need more memory than there is."""
 
 
+class _InvalidStatusError(Exception):
+    """The status of an answer is none, or is one that no request asks for."""
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection to a target or to the store that carries one request at a time.
 
@@ -67,6 +76,7 @@
         """Bytes received for the current request."""
         self._head_bytes = 0
         self._in_body = False
+        self._interim_responses = 0
         self._request_id = b""
         self._head_only = False
         self._requests = 0
@@ -110,6 +120,7 @@
         self._received = 0
         self._head_bytes = 0
         self._in_body = False
+        self._interim_responses = 0
         self._head_only = head_only
         self._fut = asyncio.get_running_loop().create_future()
         write_parts(self._transport, data, body)
@@ -188,6 +199,12 @@
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
+        if status < 100 or status == SWITCHING_PROTOCOLS:
+            raise _InvalidStatusError(status)
+        if status < 200:
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                raise _InvalidStatusError(status)
         self._in_body = status >= 200
         sized = b"content-length" in self._headers or b"transfer-encoding" in self._headers
         # Other bodies end with the connection.
