Mesh: membership has a module of its own

mesh/node.py is long, and registering again after a restored store adds to it. Moved without a change of behaviour; two calls in tests/test_mesh_departures.py follow the new name.

--- /dev/null
+++ b/beryldrum/mesh/membership.py
@@ -0,0 +1,123 @@
+"""Registers a node as a member, and reads the other members and the departures."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..errors import LogError
+from .departures import DepartureRecorder
+from .directory import Directory, Peer
+from .explain import Explainer
+from .follow import STORE_RETRY_S, Follower
+from .frames import Member
+from .local_target import LocalTarget
+from .store import Registry, Store
+
+__all__ = ["Membership"]
+
+MEMBERS_POLL_S = 30.0
+"""Period at which the members are read from the store, to find nodes that were missed."""
+
+MEMBERS_POLL_LARGE_S = 180.0
+"""That period in a large fleet, except for the first node of each data centre."""
+
+DEPARTURE_RETENTION_S = 600.0
+"""Time after which the departures of a host that no longer exists are removed."""
+
+
+class Membership:
+    """The entry of node ``member`` in the store, and what it learns from the others'.
+
+    ``connect`` is called with nodes that were not known, and ``on_departures`` when the
+    store shows that the local target has left.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        store: Store,
+        member: Member,
+        directory: Directory,
+        target: LocalTarget,
+        departures: DepartureRecorder,
+        follower: Follower,
+        explainer: Explainer,
+        connect: Callable[[list[Peer]], None],
+        on_departures: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._store = store
+        self._member = member
+        self._directory = directory
+        self._target = target
+        self._departures = departures
+        self._follower = follower
+        self._explainer = explainer
+        self._connect = connect
+        self._on_departures = on_departures
+
+    async def run(self) -> None:
+        """Register as a member, and read the other members periodically.
+
+        The node registers before it reads, so that of two nodes that start at the same
+        time at least one finds the other.
+        """
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._store.register(self._member)
+                    registered = True
+                registry = await self._store.registry()
+                members = registry.members
+                if registry.unreadable:
+                    self._explainer.event("store entries ignored", keys=registry.unreadable[:10])
+                if not self._target.departures_known:
+                    self._restore_departures(registry)
+                # All are added before connecting, so that a large fleet is recognised first.
+                new = [self._directory.add(member) for member in members]
+                self._connect([peer for peer in new if peer is not None])
+                self._follower.members_read.set()
+                # A delayed deregistration of an earlier process may have removed it.
+                registered = self._member in members
+                first = not self._directory.large or not self._follower.rank()
+                period_s = MEMBERS_POLL_S if first or not registered else MEMBERS_POLL_LARGE_S
+                if not self._follower.rank():
+                    await self.remove_old_departures(registry)
+                await asyncio.sleep(period_s * self._rng.uniform(0.8, 1.2))
+            except LogError as exc:
+                self._explainer.event("members not read", error=repr(exc))
+                self._follower.members_read.set()
+                await asyncio.sleep(STORE_RETRY_S * self._rng.uniform(0.7, 1.3))
+
+    def _restore_departures(self, registry: Registry) -> None:
+        record = registry.departures.get(self._member.address)
+        targets = record.targets if record else {}
+        self._departures.restore(targets)
+        if targets:
+            self._explainer.event("departures restored", targets=targets)
+        if self._target.restore_departures(targets):
+            self._on_departures()
+
+    async def remove_old_departures(self, registry: Registry) -> None:
+        """Remove the departures of hosts that are no longer registered."""
+        registered = {member.address for member in registry.members}
+        before_ms = self._clock.wall_ms() - DEPARTURE_RETENTION_S * 1000
+        old = [
+            address
+            for address, departures in registry.departures.items()
+            if address not in registered and departures.recorded_ms < before_ms
+        ]
+        if old:
+            await self._store.remove_departures(old)
+
+    async def deregister(self) -> None:
+        """Remove this node from the members."""
+        try:
+            await self._store.deregister(self._member.address)
+        except LogError as exc:
+            # The member stays registered; others find that its address does not answer.
+            self._explainer.event("still registered", error=repr(exc))
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -13,7 +13,7 @@
 
 from .. import request
 from ..clock import Clock, SystemClock
-from ..errors import LogError, PeerLostError, SettingsError
+from ..errors import PeerLostError, SettingsError
 from .admission import AdmissionController
 from .capacity import ServiceCapacity
 from .configuration import ConfigurationState
@@ -25,7 +25,7 @@
 from .entry import AdmissionCheck, AttemptRunner, Entry, KeyCheck
 from .exchange import unknown
 from .explain import Explainer
-from .follow import STORE_RETRY_S, Follower
+from .follow import Follower
 from .frames import (
     Cancel,
     Document,
@@ -59,10 +59,11 @@
 from .links import Link, LinkHandler, LinkProtocol, listen
 from .load_balancer import LoadBalancer
 from .local_target import LocalTarget
+from .membership import Membership
 from .metrics import MeshMetrics, TargetState
 from .quota import Quotas, Tolerance
 from .settings import MeshSettings
-from .store import Registry, Store
+from .store import Store
 from .summaries import SUMMARY_PERIOD_S, Summaries
 from .target import DRAINING, Announcement
 
@@ -96,19 +97,10 @@
 ON_DEMAND_CONNECT_TIMEOUT_S = 0.3
 """Longest time for which a request waits until an on-demand connection is open."""
 
-MEMBERS_POLL_S = 30.0
-"""Period at which the members are read from the store, to find nodes that were missed."""
-
-MEMBERS_POLL_LARGE_S = 180.0
-"""That period in a large fleet, except for the first node of each data centre."""
-
 DEPARTURE_TIMEOUT_S = 0.8
 """Longest time for which a target waits until its leaving is recorded. It takes an answer
 that comes within a second for a confirmation."""
 
-DEPARTURE_RETENTION_S = 600.0
-"""Time after which the departures of a host that no longer exists are removed."""
-
 KEY_MARGIN_S = 0.4
 """Subtracted from the time within which a withdrawn key must stop working, to allow for
 clocks that run at different speeds and for the transfer of a request to its target."""
@@ -260,6 +252,19 @@
             self._max_confirmation_age_s,
             lambda: self.quotas.max_report_age_s,
         )
+        self.membership = Membership(
+            self.clock,
+            self._rng,
+            store,
+            self.member,
+            self.directory,
+            self.target,
+            self.departures,
+            self.follower,
+            self.explainer,
+            self._connect_all,
+            self._broadcast_state,
+        )
         self.summaries = Summaries(
             self.clock,
             self._rng,
@@ -596,69 +601,15 @@
         else:
             self.follower.copy_from(link.address)
 
-    # Configuration and membership.
+    # Configuration.
 
     def _on_configuration(self, doc: FleetDocument) -> None:
         self.quotas.load(doc.rate_limited())
         self.graph.load({route.name: route.service_weights[0].service for route in doc.routes})
         self._broadcast_state()
 
-    async def _membership_loop(self) -> None:
-        """Register as a member, and read the other members periodically.
-
-        The node registers before it reads, so that of two nodes that start at the same
-        time at least one finds the other.
-        """
-        registered = False
-        while True:
-            try:
-                if not registered:
-                    await self._store.register(self.member)
-                    registered = True
-                registry = await self._store.registry()
-                members = registry.members
-                if registry.unreadable:
-                    self.explainer.event("store entries ignored", keys=registry.unreadable[:10])
-                if not self.target.departures_known:
-                    self._restore_departures(registry)
-                # All are added before connecting, so that a large fleet is recognised first.
-                new = [self.directory.add(member) for member in members]
-                self._connect_all([peer for peer in new if peer is not None])
-                self.follower.members_read.set()
-                # A delayed deregistration of an earlier process may have removed it.
-                registered = self.member in members
-                first = not self.directory.large or not self.follower.rank()
-                period_s = MEMBERS_POLL_S if first or not registered else MEMBERS_POLL_LARGE_S
-                if not self.follower.rank():
-                    await self._remove_old_departures(registry)
-                await asyncio.sleep(period_s * self._rng.uniform(0.8, 1.2))
-            except LogError as exc:
-                self.explainer.event("members not read", error=repr(exc))
-                self.follower.members_read.set()
-                await asyncio.sleep(STORE_RETRY_S * self._rng.uniform(0.7, 1.3))
-
     # The local target.
 
-    def _restore_departures(self, registry: Registry) -> None:
-        record = registry.departures.get(self.member.address)
-        targets = record.targets if record else {}
-        self.departures.restore(targets)
-        if targets:
-            self.explainer.event("departures restored", targets=targets)
-        if self.target.restore_departures(targets):
-            self._broadcast_state()
-
-    async def _remove_old_departures(self, registry: Registry) -> None:
-        registered = {member.address for member in registry.members}
-        before_ms = self.clock.wall_ms() - DEPARTURE_RETENTION_S * 1000
-        old = [
-            address
-            for address, departures in registry.departures.items()
-            if address not in registered and departures.recorded_ms < before_ms
-        ]
-        if old:
-            await self._store.remove_departures(old)
-
     async def _handle_statement(self, http_request: HttpRequest) -> int:
         """Process a statement of the target; returns the status of the answer.
 
@@ -760,7 +711,7 @@
         for run in (
             self.follower.run,
             self.summaries.run,
-            self._membership_loop,
+            self.membership.run,
             self._heartbeat_loop,
             self._tick,
             self.explainer.run,
@@ -799,7 +750,7 @@
         deadline = began + max(0.0, self.cfg.stop_s - KILL_MARGIN_S)
         self.entry.stop_at = deadline - REPLY_MARGIN_S
         self.target.stop_at = self.entry.runs_end_at = deadline - 2 * REPLY_MARGIN_S
-        leaving = asyncio.create_task(self._deregister())
+        leaving = asyncio.create_task(self.membership.deregister())
         while self.clock.now() < deadline:
             waited = self.clock.now() - began
             if waited >= DRAIN_GATE_S and not self.target.stopping:
@@ -819,13 +770,6 @@
         links = sum(link.unsent_bytes() for link in self._incoming_links)
         return links + sum(listener.unsent_bytes() for listener in self._listeners)
 
-    async def _deregister(self) -> None:
-        try:
-            await self._store.deregister(self.member.address)
-        except LogError as exc:
-            # The member stays registered; others find that its address does not answer.
-            self.explainer.event("still registered", error=repr(exc))
-
     async def close(self) -> None:
         """Cancel all tasks and close all connections."""
         self.explainer.flush()
--- a/tests/test_mesh_departures.py
+++ b/tests/test_mesh_departures.py
@@ -130,7 +130,7 @@
             for address, recorded_ms in records.items():
                 record = Departures({"i-9": 1}, recorded_ms)
                 await shop.store.record_departures(address, record)
-            await shop.node._remove_old_departures(await shop.store.registry())
+            await shop.node.membership.remove_old_departures(await shop.store.registry())
             left = (await shop.store.registry()).departures
             self.assertEqual({"10.0.0.2:1", shop.cfg.nodes}, set(left))
 
@@ -160,7 +160,7 @@
             registry = await shop.store.registry()
             self.assertEqual((4, {}), (len(registry.unreadable), registry.departures))
             before = topic.end
-            await shop.node._remove_old_departures(registry)
+            await shop.node.membership.remove_old_departures(registry)
             self.assertEqual(before, topic.end)
 
     @parameterized.expand(
