Mesh: other nodes take over at once from readers that the store rejects

With 75 hosts in 4 data centres, and 26 of them rejected by the store, a withdrawn key was still admitted 2.52 s after its confirmation. The four readers noticed it only after a long poll of up to 2 s and a time-out of 1 s, and the others only by the age of their proof.

A reader now announces a rejection, or an answer that is 0.4 s overdue, in its state, which is pushed to the other data centres. The next nodes of its data centre and another data centre ask at once.

--- a/beryldrum/mesh/departures.py
+++ b/beryldrum/mesh/departures.py
@@ -40,6 +40,7 @@
         self._departures = departures
         self._recorded: dict[str, int] = {}
         """What the store is known to have."""
+        self._rewrites = 0
         self._restored = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -53,6 +54,14 @@
         self._recorded = targets | self._recorded
         self._restored.set()
 
+    def rewrite(self) -> None:
+        """Write all departures again, since the store may have lost them."""
+        if self._restored.is_set():
+            self._recorded = {}
+            self._rewrites += 1
+            if not self.complete and (self._task is None or self._task.done()):
+                self._task = asyncio.create_task(self._write())
+
     async def record(self, timeout_s: float) -> bool:
         """Record all departures; returns whether the store has them within ``timeout_s``.
 
@@ -68,7 +77,7 @@
         # A record replaces the one of an earlier process, which has to be read before.
         await self._restored.wait()
         while not self.complete:
-            targets = self._departures()
+            targets, rewrites = self._departures(), self._rewrites
             try:
                 record = Departures(targets, self._clock.wall_ms())
                 await self._store.record_departures(self._address, record)
@@ -76,7 +85,8 @@
                 self._explainer.event("departure not recorded", error=repr(exc))
                 await asyncio.sleep(RETRY_S)
             else:
-                self._recorded = targets
+                if rewrites == self._rewrites:
+                    self._recorded = targets
 
     def stop(self) -> None:
         """Stop trying."""
--- a/beryldrum/mesh/directory.py
+++ b/beryldrum/mesh/directory.py
@@ -71,6 +71,10 @@
         """When connecting to it last failed, or the connection was lost."""
         self.sent = 0
         """Runs sent to it since its last load report."""
+        self.store_rejected = False
+        """Whether it has announced that the store rejects it."""
+        self.rejected_at = float("-inf")
+        """When it announced that."""
         self._latencies: dict[str, _Latency] = {}
 
     def record_latency(
@@ -110,6 +114,9 @@
         self.received = 0
         self.uses: dict[str, Usage] = {}
         self.calls: dict[str, float] = {}
+        self.has_reader = True
+        self.served_at = float("-inf")
+        """When the last summary according to which it has a reader was made."""
 
     def report(self, name: str) -> UsageReport:
         """Return the rate use of the whole data centre.
@@ -137,6 +144,8 @@
         """Incremented when the result of :meth:`local_peers` may have changed."""
         self.large = False
         """Whether the fleet has ever exceeded the size of a full mesh."""
+        self.on_readers_change: list[Callable[[], None]] = []
+        """Called when the nodes that follow the store may have to change."""
 
     def is_local(self, peer: Peer) -> bool:
         """Tell whether a node is in this node's data centre."""
@@ -197,8 +206,28 @@
             remote.source, remote.at = summary.source, asked_at
             remote.received += 1
             remote.uses, remote.calls = summary.uses, summary.calls
+            if summary.has_reader:
+                remote.served_at = asked_at
+            if remote.has_reader != summary.has_reader:
+                remote.has_reader = summary.has_reader
+                self._readers_changed()
         return new
 
+    def _readers_changed(self) -> None:
+        for callback in self.on_readers_change:
+            callback()
+
+    def rejected_data_centres(self) -> set[str]:
+        """Return the other data centres whose reader the store rejects."""
+        found = {name for name, remote in self._data_centres.items() if not remote.has_reader}
+        for peer in self.peers.values():
+            # A rejected node of another data centre announces it before the next summary.
+            if peer.store_rejected and not self.is_local(peer):
+                remote = self._data_centres.get(peer.member.data_centre)
+                if remote is None or peer.rejected_at > remote.served_at:
+                    found.add(peer.member.data_centre)
+        return found
+
     def local_loads(self) -> list[NodeLoad]:
         """Return the loads of this data centre's other nodes, for a summary."""
         return [NodeLoad(peer.member, peer.load) for peer in self.local_peers()]
@@ -234,6 +263,11 @@
             self.membership_version += 1
         peer.stopping = state.stopping
         self.update_load(peer, state.load)
+        if peer.store_rejected != state.store_rejected:
+            peer.store_rejected = state.store_rejected
+            if state.store_rejected:
+                peer.rejected_at = self._clock.now()
+            self._readers_changed()
 
     def update_load(self, peer: Peer, load: Load) -> None:
         """Store the load that a node reports."""
@@ -248,7 +282,8 @@
         if peer.connected != connected:
             self._services = None
             self.membership_version += 1
-        peer.connected = connected
+            peer.connected = connected
+            self._readers_changed()
 
     def serving(self, service: str) -> list[Peer]:
         """Return the reachable nodes whose target accepts requests of a service."""
@@ -257,20 +292,23 @@
         return self._services.get(service, [])
 
     def _serving(self) -> dict[str, list[Peer]]:
-        now = self._clock.now()
-        self._services_until = now + SUMMARY_EXPIRY_S / 8 if self.large else float("inf")
+        expiry_s = SUMMARY_EXPIRY_S / 8 if self.large else float("inf")
+        self._services_until = self._clock.now() + expiry_s
         found: dict[str, list[Peer]] = {}
         for peer in self.peers.values():
-            if peer.stopping or not peer.load.service:
-                continue
-            summarised = (
-                now - peer.summarised_at < SUMMARY_EXPIRY_S
-                and now - peer.unreachable_at > UNREACHABLE_RETRY_S
-            )
-            if peer.connected or (summarised and self.large):
+            if peer.load.service and self.is_serving(peer):
                 found.setdefault(peer.load.service, []).append(peer)
         return found
 
+    def is_serving(self, peer: Peer) -> bool:
+        """Tell whether a node can be reached, as far as is known."""
+        now = self._clock.now()
+        summarised = (
+            now - peer.summarised_at < SUMMARY_EXPIRY_S
+            and now - peer.unreachable_at > UNREACHABLE_RETRY_S
+        )
+        return not peer.stopping and (peer.connected or (summarised and self.large))
+
     def reports(self) -> list[UsageReport]:
         """Return the rate use of all that share a rate with this node.
 
--- a/beryldrum/mesh/evacuation.py
+++ b/beryldrum/mesh/evacuation.py
@@ -51,7 +51,9 @@
         self._era_began_at = 0
         """Length of the log at this node's first read of the era."""
         self._end = 0
-        """Greatest length of the log that this node has read."""
+        """Greatest length of the log that this node has read in this era."""
+        self._known_end = 0
+        """That of the era before; at this node's first read, the length then."""
         self._shown: set[str] = set()
         """Data centres that the store has shown as evacuated in this era."""
         self._complete = (0, 0)
@@ -81,16 +83,15 @@
         if read.era < self._era:
             return False
         if read.era > self._era:
-            # What was read at an earlier end may have been lost, but not what is beyond it.
-            began_at = read.end if self._era < 0 else min(self._end, read.end)
-            self._era, self._era_began_at, self._shown = read.era, began_at, set()
-            self._end = read.end
+            self._known_end = self._end if self._era >= 0 else read.end
+            self._era, self._era_began_at, self._shown = read.era, read.end, set()
+            self._end = 0
         self._end = max(self._end, read.end)
         entries = []
         for name, (evacuated, position) in read.records.items():
             if evacuated is None or not 0 < len(name) <= MAX_NAME_CHARS:
                 continue
-            if settled or position > self._era_began_at:
+            if settled or self._is_certain(name, position):
                 entries.append(Evacuation(name, evacuated, read.era, position))
             elif evacuated and name not in self._entries:
                 entries.append(Evacuation(name, True, 0, 0))
@@ -106,6 +107,14 @@
                 self._complete = (read.era, read.end)
         return self._put(entries)
 
+    def _is_certain(self, name: str, position: int) -> bool:
+        """Tell whether a record is of this era, or newer than what is known of the era before."""
+        known = self._entries.get(name)
+        known_end = self._known_end
+        if known is not None and known.era < self._era:
+            known_end = max(known_end, known.position)
+        return position > min(self._era_began_at, known_end)
+
     def _is_newer(self, entry: Evacuation) -> bool:
         stamp = (entry.era, entry.position)
         known = self._entries.get(entry.data_centre)
--- a/beryldrum/mesh/follow.py
+++ b/beryldrum/mesh/follow.py
@@ -1,9 +1,13 @@
 """Keeps a node's configuration up to date, from the store or from other nodes.
 
-Two nodes of a data centre, its readers, follow the store with long polls and push a new
-version to the others, which copy it together with the age of the reader's confirmation.
-A node whose confirmation becomes older than that should be asks the store itself, so
-correctness does not depend on which nodes are readers.
+Few nodes, the readers, follow the store with long polls and push a new version to the
+others, which copy it together with the age of the reader's confirmation. A reader that the
+store rejects, or does not answer in time, announces it, and others take over. A node whose
+confirmation becomes older than that should be asks the store itself, so correctness does
+not depend on which nodes are readers.
+
+The same reads bring the operator's evacuations. A confirmation of the configuration is taken
+over only after the evacuations that came with it, so it confirms these too.
 """
 
 import asyncio
@@ -13,14 +17,17 @@
 
 from ..clock import Clock
 from ..errors import DocumentError, LogError, PeerLostError
-from .configuration import ConfigurationState
+from .configuration import NEVER, ConfigurationState
 from .conventions import WireAdapter
 from .directory import Directory
 from .document import FleetDocument
+from .evacuation import Evacuations
 from .explain import Explainer
 from .frames import Document, DocumentRequest
 from .links import Link
-from .store import Store
+from .readers import READERS_PER_DATA_CENTRE, Readers
+from .store import Store, Watch
+from .store_era import StoreEra
 
 __all__ = ["STORE_RETRY_S", "Follower"]
 
@@ -31,15 +38,28 @@
 """Duration of a long poll, as a share of the time for which a confirmation is valid. It
 is less than half, so that one answer may be lost."""
 
-WATCH_MAX_S = 2.0
-"""Longest duration of a long poll."""
+WATCH_SMALL_S = 1.5
+"""Duration of a long poll in a small fleet; each data centre has two readers there."""
 
-READERS_PER_DATA_CENTRE = 2
-"""Nodes of a data centre that follow the store. There are two, since one may lose its
-connection to the store without noticing."""
+WATCH_MIN_S = 0.5
+"""Shortest duration of a long poll, which bounds the number of calls."""
 
-READING_DATA_CENTRES = 2
-"""Data centres of a large fleet whose readers follow the store."""
+OVERDUE_S = 0.4
+"""Time after which an answer is overdue, in addition to the duration of the long poll. A slow
+store takes a quarter of a second."""
+
+FAILOVER_S = 1.4
+"""Time that a change takes at most after a long poll that a rejected reader has just begun.
+
+It is the sum of: 0.4 s until its answer is overdue, 0.4 s for a round of successors without an
+answer, 0.25 s for a read of a slow store, 0.25 s for pushes and copies within and between data
+centres, and 0.1 s as a margin."""
+
+MAX_NORMAL_WATCH_S = 2.0
+"""Duration of a long poll that the age of a confirmation may show without being late."""
+
+ERA_REREAD_S = 0.05
+"""Delay before the store is read from the begin in a new era."""
 
 REMOTE_COPY_DELAY_S = 0.4
 """Time after which a newer configuration is copied from another data centre. By then the
@@ -71,8 +91,8 @@
     """Updates a node's :class:`.ConfigurationState` from the store and from other nodes.
 
     ``links`` are the connections to the nodes in ``directory``, ``max_age_s`` is the time
-    for which a confirmation is valid, and ``report_age_s`` returns the age that reports of
-    other nodes can have.
+    for which a confirmation is valid, ``report_age_s`` returns the age that reports of other
+    nodes can have, and ``deadline_s`` is the time within which a change is to be in force.
     """
 
     def __init__(
@@ -87,6 +107,9 @@
         explainer: Explainer,
         max_age_s: float,
         report_age_s: Callable[[], float],
+        deadline_s: float = 2.0,
+        evacuations: Evacuations | None = None,
+        era: StoreEra | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -96,10 +119,22 @@
         self._directory = directory
         self._links = links
         self._explainer = explainer
-        self._watch_s = min(WATCH_MAX_S, max_age_s * WATCH_SHARE)
+        self._deadline_s = deadline_s
+        self._evacuations = evacuations if evacuations is not None else Evacuations()
+        self._era = era if era is not None else StoreEra(clock)
         self._report_age_s = report_age_s
         self._max_age_s = max_age_s
+        self.readers = Readers(clock, directory)
+        self.on_rejection: list[Callable[[], None]] = []
+        """Called when the store begins or ceases to reject this node."""
+        self.on_store_change: list[Callable[[], None]] = []
+        """Called when the store had a newer configuration, or other evacuations."""
         self.store_up = True
+        self._was_reader = False
+        self._stored_version = -1
+        """Version of the configuration that the store showed last, -1 if none."""
+        self._wake = asyncio.Event()
+        directory.on_readers_change.append(self._wake.set)
         self.members_read = asyncio.Event()
         """Set after the first attempt to read the members, also if it failed."""
         self._copy_task: asyncio.Task[None] | None = None
@@ -117,41 +152,104 @@
             async with asyncio.timeout(MEMBERS_READ_TIMEOUT_S):
                 await self.members_read.wait()
         started_at = self._clock.now()
+        first_poll = True
         while True:
             reader = self._is_reader()
             if self._awaits_first_copy(started_at) or (
                 not reader and self._is_confirmed_recently()
             ):
-                await asyncio.sleep(AGE_CHECK_S * self._rng.uniform(0.8, 1.2))
+                await self._sleep(AGE_CHECK_S * self._rng.uniform(0.8, 1.2))
                 continue
-            # Random, so that not all readers ask at the same time after each change.
             waits = reader or self._configuration.document is None
-            wait_s = self._watch_s * self._rng.uniform(0.6, 1.0) if waits else 0.0
+            wait_s = self._poll_s(first_poll) if waits else 0.0
             asked_at = self._clock.now()
             try:
-                # Without a configuration so far, wait in the store for the first one.
-                if position < 0 and self._configuration.document is not None:
-                    watch = await self._store.configuration()
-                else:
-                    watch = await self._store.watch(max(0, position), wait_s)
-                self._set_store_up(True, "")
-                pause_s = STORE_RETRY_S
-                position = watch.position
+                watch = await self._ask(position, wait_s)
             except LogError as exc:
                 self._set_store_up(False, repr(exc))
+                self._set_rejected(True)
                 position = -1
                 await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
                 pause_s = min(STORE_RETRY_MAX_S, 2 * pause_s)
                 continue
-            if watch.text is not None:
-                self._apply(watch.text, asked_at, "store")
-            elif self._configuration.version >= 0:
-                self._configuration.confirm(self._configuration.version, asked_at + watch.waited_s)
-            if watch.text is None and not watch.waited_s:
-                await asyncio.sleep(STORE_RETRY_S)
+            self._set_store_up(True, "")
+            self._set_rejected(False)
+            pause_s = STORE_RETRY_S
+            first_poll = not watch.waited_s
+            same_era = self._era.observe(watch.era)
+            if watch.era < self._era.number or (not same_era and position >= 0):
+                # The position, and what the answer confirms, were those of the era before.
+                position = -1
+                await self._sleep(ERA_REREAD_S)
+                continue
+            position = watch.position
+            self._take(watch, asked_at)
+            if self._era.take_reread():
+                position = -1
+            elif watch.text is None and not watch.waited_s:
+                await self._sleep(STORE_RETRY_S)
+
+    async def _ask(self, position: int, wait_s: float) -> Watch:
+        """Read the store; announces when the answer is overdue, and goes on waiting for it."""
+        # Without a configuration so far, wait in the store for the first one.
+        if position < 0 and self._configuration.document is not None:
+            call, wait_s = self._store.configuration(), 0.0
+        else:
+            call = self._store.watch(max(0, position), wait_s)
+        task = asyncio.ensure_future(call)
+        try:
+            done, _ = await asyncio.wait({task}, timeout=wait_s + OVERDUE_S)
+            if not done:
+                self._set_rejected(True)
+            return await task
+        finally:
+            task.cancel()
+
+    def _take(self, watch: Watch, asked_at: float) -> None:
+        """Apply what a read has brought; evacuations come before what confirms them."""
+        changed = False
+        if watch.evacuations is not None:
+            changed = self._evacuations.observe(watch.evacuations, self._era.settled)
+        version = self._configuration.version
+        if watch.text is not None:
+            self._stored_version = self._apply(watch.text, asked_at, "store")
+        elif self._stored_version >= 0 and self._era.confirms:
+            self._configuration.confirm(self._stored_version, asked_at + watch.waited_s)
+        if changed or self._configuration.version != version:
+            for callback in self.on_store_change:
+                callback()
+
+    def _poll_s(self, first: bool) -> float:
+        """Return the duration of a long poll, which is longer before the first configuration.
+
+        The first one after a change, which ends the polls of all readers, is shorter, so
+        that the readers' polls do not end at the same time.
+        """
+        if self._directory.large and self._configuration.document is not None:
+            poll_s = max(WATCH_MIN_S, self._deadline_s - FAILOVER_S)
+        else:
+            poll_s = WATCH_SMALL_S
+        poll_s = min(poll_s, self._max_age_s * WATCH_SHARE)
+        if not first or self._configuration.document is None:
+            return poll_s
+        place, places = self.readers.slot()
+        return poll_s * (place + 1) / places
+
+    async def _sleep(self, seconds: float) -> None:
+        """Wait, at most until the nodes that read the store may have to change."""
+        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+
+    def _set_rejected(self, rejected: bool) -> None:
+        if rejected != self.readers.rejected:
+            self.readers.rejected_at = self._clock.now() if rejected else None
+            for callback in self.on_rejection:
+                callback()
 
     def _is_confirmed_recently(self) -> bool:
-        normal_s = self._watch_s + self._report_age_s()
+        normal_s = min(MAX_NORMAL_WATCH_S, self._max_age_s * WATCH_SHARE) + self._report_age_s()
         if self._directory.large:
             # Confirmations of other data centres are relayed by a local node.
             normal_s = min(normal_s + RELAY_DELAY_S, self._max_age_s - REFRESH_MARGIN_S)
@@ -174,30 +272,35 @@
         )
 
     def _is_reader(self) -> bool:
-        """Tell whether this node is a reader of the store."""
-        own = self._directory.own
-        if self._directory.large:
-            data_centres = sorted([own.data_centre, *self._directory.recent_data_centres()])
-            if own.data_centre not in data_centres[:READING_DATA_CENTRES]:
-                return False
-        return self.rank() < READERS_PER_DATA_CENTRE
+        """Tell whether this node is a reader of the store, or asks whether it is served."""
+        if self.readers.expire():
+            for callback in self.on_rejection:
+                callback()
+        reader = self.readers.is_reader()
+        if reader != self._was_reader:
+            self._was_reader = reader
+            self._explainer.event("store reader", reads=reader, rejected=self.readers.rejected)
+        return reader or (self.readers.rejected and self.readers.probes())
 
     def rank(self) -> int:
         """Return how many connected nodes of this data centre have a lower address."""
-        own = self._directory.own
-        return sum(p.member.address < own.address for p in self._directory.local_peers())
+        return self.readers.rank()
 
     def _set_store_up(self, up: bool, error: str) -> None:
         if up != self.store_up:
             self._explainer.event("store recovered" if up else "store lost", error=error)
         self.store_up = up
 
-    def _apply(self, text: bytes, confirmed_at: float, source: str) -> None:
+    def _apply(self, text: bytes, confirmed_at: float, source: str) -> int:
+        """Put a configuration in force if it is newer; returns its version, -1 if refused."""
         try:
             doc = self._adapter.parse_document(text)
         except DocumentError as exc:
             self._explainer.event("configuration refused", source=source, error=str(exc))
-            return
+            return -1
+        if source == "store" and not self._era.confirms:
+            # A newer one may have been lost with the store's last records.
+            confirmed_at = NEVER
         if self._configuration.apply(doc, text, confirmed_at):
             self._explainer.event(
                 "configuration in force",
@@ -205,6 +308,7 @@
                 source=source,
                 proof_ms=self._configuration.age_ms(),
             )
+        return doc.version
 
     # Other nodes.
 
@@ -238,5 +342,6 @@
             self._explainer.event("configuration copy failed", peer=link.address, error=repr(exc))
             return
         assert isinstance(answer, Document)
+        self._evacuations.merge(answer.evacuations)
         if answer.text and answer.proof_ms >= 0:
             self._apply(answer.text, asked_at - answer.proof_ms / 1000, "peer")
--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -198,6 +198,8 @@
     """Whether the store does not serve this node, so that it cannot be a reader."""
     retry_demands: dict[str, RetryDemand] = {}
     """By service; only services whose retries are short."""
+    store_era: Count = 0
+    """The highest era of the store that the node knows."""
 
 
 class Heartbeat(msgspec.Struct, array_like=True, tag=7):
@@ -233,6 +235,7 @@
     sequence: int
     text: bytes
     proof_ms: Age
+    evacuations: list[Evacuation] = []
 
 
 class NodeLoad(msgspec.Struct, array_like=True):
@@ -265,9 +268,10 @@
     proof_ms: Age
     evacuations: list[Evacuation] = []
     has_reader: bool = True
-    """Whether the store serves one of the data centre's nodes."""
+    """False while the store rejects one of the data centre's readers."""
     retry_demands: dict[str, RetryDemand] = {}
     """The sums of the data centre's nodes."""
+    store_era: Count = 0
 
 
 class GrantRequest(msgspec.Struct, array_like=True, tag=11):
--- a/beryldrum/mesh/membership.py
+++ b/beryldrum/mesh/membership.py
@@ -1,6 +1,7 @@
 """Registers a node as a member, and reads the other members and the departures."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -13,6 +14,7 @@
 from .frames import Member
 from .local_target import LocalTarget
 from .store import Registry, Store
+from .store_era import StoreEra
 
 __all__ = ["Membership"]
 
@@ -43,6 +45,7 @@
         target: LocalTarget,
         departures: DepartureRecorder,
         follower: Follower,
+        era: StoreEra,
         explainer: Explainer,
         connect: Callable[[list[Peer]], None],
         on_departures: Callable[[], None],
@@ -55,7 +58,11 @@
         self._target = target
         self._departures = departures
         self._follower = follower
+        self._era = era
         self._explainer = explainer
+        self._registered = False
+        self._new_era = asyncio.Event()
+        era.on_change.append(self._on_era)
         self._connect = connect
         self._on_departures = on_departures
 
@@ -65,13 +72,16 @@
         The node registers before it reads, so that of two nodes that start at the same
         time at least one finds the other.
         """
-        registered = False
         while True:
             try:
-                if not registered:
-                    await self._store.register(self._member)
-                    registered = True
+                self._new_era.clear()
+                if not self._registered:
+                    # Set before the call: a new era that begins meanwhile takes it back.
+                    self._registered = True
+                    await self._register()
                 registry = await self._store.registry()
+                self._era.observe(registry.era)
+                self._era.settle(registry.settled_era)
                 members = registry.members
                 if registry.unreadable:
                     self._explainer.event("store entries ignored", keys=registry.unreadable[:10])
@@ -82,20 +92,46 @@
                 self._connect([peer for peer in new if peer is not None])
                 self._follower.members_read.set()
                 # A delayed deregistration of an earlier process may have removed it.
-                registered = self._member in members
+                current = registry.era == self._era.number
+                self._registered = self._member in members and current
                 first = not self._directory.large or not self._follower.rank()
-                period_s = MEMBERS_POLL_S if first or not registered else MEMBERS_POLL_LARGE_S
+                period_s = MEMBERS_POLL_S if first or not self._registered else MEMBERS_POLL_LARGE_S
                 if not self._follower.rank():
                     await self.remove_old_departures(registry)
-                await asyncio.sleep(period_s * self._rng.uniform(0.8, 1.2))
+                    if self._era.settled and registry.settled_era < registry.era:
+                        await self._store.record_era(self._era.number)
+                period_s *= self._rng.uniform(0.8, 1.2)
+                if not self._era.settled:
+                    period_s = self._era.settles_in_s() + STORE_RETRY_S
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(period_s):
+                        await self._new_era.wait()
             except LogError as exc:
                 self._explainer.event("members not read", error=repr(exc))
                 self._follower.members_read.set()
                 await asyncio.sleep(STORE_RETRY_S * self._rng.uniform(0.7, 1.3))
 
+    async def _register(self) -> None:
+        try:
+            await self._store.register(self._member)
+        except LogError:
+            self._registered = False
+            raise
+
+    def _on_era(self) -> None:
+        """Write again what the store may have lost, and read what it has."""
+        self._explainer.event("store era", number=self._era.number)
+        self._registered = False
+        self._departures.rewrite()
+        self._new_era.set()
+
     def _restore_departures(self, registry: Registry) -> None:
         record = registry.departures.get(self._member.address)
         targets = record.targets if record else {}
+        if not self._era.confirms:
+            # The store may have lost some, so a target is used only once it goes on.
+            self._target.announcements.restore(targets)
+            return
         self._departures.restore(targets)
         if targets:
             self._explainer.event("departures restored", targets=targets)
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -23,6 +23,7 @@
 from .directory import Directory, Peer
 from .document import FleetDocument, Route
 from .entry import AdmissionCheck, AttemptRunner, Entry, KeyCheck
+from .evacuation import Evacuations
 from .exchange import unknown
 from .explain import Explainer
 from .follow import Follower
@@ -61,9 +62,11 @@
 from .local_target import LocalTarget
 from .membership import Membership
 from .metrics import MeshMetrics, TargetState
+from .news import News
 from .quota import Quotas, Tolerance
 from .settings import MeshSettings
 from .store import Store
+from .store_era import StoreEra
 from .summaries import SUMMARY_PERIOD_S, Summaries
 from .target import DRAINING, Announcement
 
@@ -200,6 +203,8 @@
         self.explainer = Explainer(logger, self.clock, emit)
         self.configuration = ConfigurationState(self.clock)
         self.directory = Directory(self.clock, self.member)
+        self.evacuations = Evacuations()
+        self.era = StoreEra(self.clock)
         tolerance = Tolerance(cfg.rate_tolerance, cfg.rate_tolerance_requests)
         self.quotas = Quotas(self.clock, self._rng, tolerance, cfg.first_start)
         self.graph = CallGraph(self.clock)
@@ -251,6 +256,9 @@
             self.explainer,
             self._max_confirmation_age_s,
             lambda: self.quotas.max_report_age_s,
+            cfg.config_deadline_ms / 1000,
+            self.evacuations,
+            self.era,
         )
         self.membership = Membership(
             self.clock,
@@ -261,6 +269,7 @@
             self.target,
             self.departures,
             self.follower,
+            self.era,
             self.explainer,
             self._connect_all,
             self._broadcast_state,
@@ -278,6 +287,19 @@
             self._relay,
             lambda address: self.follower.copy_from(address, immediately=True),
             self._connect_all,
+            self.evacuations,
+            self.era,
+            self.follower.readers.has_reader,
+        )
+        self.news = News(
+            self.directory,
+            self.follower,
+            self.evacuations,
+            self.explainer,
+            self.summaries,
+            self._broadcast_state,
+            lambda: self._state(brief=True),
+            self._open_link,
         )
 
     def _make_entry(self) -> Entry:
@@ -361,6 +383,11 @@
 
         Opens an on-demand connection if none is open. Raises PeerLostError and TimeoutError.
         """
+        link = await self._open_link(peer, left_s)
+        return await link.request(message, left_s)
+
+    async def _open_link(self, peer: Peer, left_s: float) -> Link:
+        """Return the connection to a node; raises PeerLostError if there is none."""
         link = self._links.get(peer.member.address)
         if not self.directory.exchanges_heartbeats(peer):
             if link is None:
@@ -370,7 +397,7 @@
                 await link.wait_open(min(left_s, ON_DEMAND_CONNECT_TIMEOUT_S))
         if link is None:
             raise PeerLostError(peer.member.address, sent=False)
-        return await link.request(message, left_s)
+        return link
 
     def _notify(self, peer: Peer, message: Message) -> None:
         link = self._links.get(peer.member.address)
@@ -406,9 +433,9 @@
             link.write(encode(HeartbeatAck(message.sequence)) + self._state(message.brief))
         elif isinstance(message, State):
             self._add_member(message.member)
-            self.directory.apply_state(message, self.clock.now() - 1e-3)
+            self._apply_state(message, self.clock.now() - 1e-3, answered=False)
             if message.version > self.configuration.version:
-                self.follower.copy_from(message.member.address)
+                self.news.on_newer(message)
         elif isinstance(message, GrantRequest):
             link.send(self.homes.grant(message))
         elif isinstance(message, GrantReturn):
@@ -419,7 +446,12 @@
             self.summaries.relayed(message)
         elif isinstance(message, DocumentRequest):
             link.send(
-                Document(message.sequence, self.configuration.text, self.configuration.age_ms())
+                Document(
+                    message.sequence,
+                    self.configuration.text,
+                    self.configuration.age_ms(),
+                    self.evacuations.entries(),
+                )
             )
 
     def link_opened(self, link: LinkProtocol) -> None:
@@ -447,6 +479,9 @@
                 {},
                 self.stopping,
                 self.directory.data_centre_count(),
+                self.evacuations.entries(),
+                self.follower.readers.rejected,
+                store_era=self.era.number,
             )
             self._brief_frame = encode(state)
             state.uses = self.quotas.all_usages() if large else self.quotas.recent_usages()
@@ -589,7 +624,7 @@
             link.heartbeat(sequence, frame, now)
 
     def _on_state(self, link: Link, state: State, asked_at: float) -> None:
-        self.directory.apply_state(state, asked_at, answered=True)
+        self._apply_state(state, asked_at, answered=True)
         peer = self.directory.peers.get(link.address)
         if peer is not None and not peer.connected:
             self.explainer.event("peer met", peer=link.address, service=state.load.service)
@@ -601,6 +636,11 @@
         else:
             self.follower.copy_from(link.address)
 
+    def _apply_state(self, state: State, asked_at: float, answered: bool) -> None:
+        self.directory.apply_state(state, asked_at, answered)
+        self.era.learn(state.store_era)
+        self.evacuations.merge(state.evacuations)
+
     # Configuration.
 
     def _on_configuration(self, doc: FleetDocument) -> None:
--- a/beryldrum/mesh/store.py
+++ b/beryldrum/mesh/store.py
@@ -9,6 +9,7 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
+from .evacuation import EvacuationRead
 from .frames import Member
 
 __all__ = ["Departures", "Registry", "Store", "Watch"]
@@ -19,12 +20,15 @@
 
     ``text`` is the configuration if it has changed, ``position`` the argument of the
     next :meth:`Store.watch`. ``waited_s`` is how long the store held the request open
-    before it answered that nothing had changed.
+    before it answered that nothing had changed. ``evacuations`` is what the records read say
+    of them, None if there are none.
     """
 
     text: bytes | None
     position: int
     waited_s: float
+    evacuations: EvacuationRead | None = None
+    era: int = 0
 
 
 class Departures(NamedTuple):
@@ -47,6 +51,9 @@
     members: list[Member]
     departures: dict[str, Departures]
     unreadable: list[str]
+    era: int = 0
+    settled_era: int = 0
+    """The last era of which a node has recorded that it is settled."""
 
 
 class Store(ABC):
@@ -80,6 +87,10 @@
     async def remove_departures(self, addresses: list[str]) -> None:
         """Remove the departures of hosts that no longer exist."""
 
+    @abstractmethod
+    async def record_era(self, number: int) -> None:
+        """Record that the store has, in this era, again what was written before."""
+
     @abstractmethod
     def close(self) -> None:
         """Close the connections."""
--- a/beryldrum/mesh/summaries.py
+++ b/beryldrum/mesh/summaries.py
@@ -17,10 +17,12 @@
 from ..errors import PeerLostError
 from .configuration import ConfigurationState
 from .directory import Directory, Peer
+from .evacuation import Evacuations
 from .explain import Explainer
 from .frames import NodeLoad, Summary, SummaryRequest, encode
 from .graph import CallGraph
 from .quota import Quotas
+from .store_era import StoreEra
 
 __all__ = ["SUMMARY_PERIOD_S", "Summaries"]
 
@@ -50,7 +52,8 @@
     ``own_load`` returns this node and its load, ``ask`` sends a message to a node and
     returns its reply, ``relay`` sends a frame to all nodes of the own data centre,
     ``on_newer_config`` is called with the address of a node whose configuration is
-    newer, and ``on_new_nodes`` with nodes that were not known.
+    newer, and ``on_new_nodes`` with nodes that were not known. ``has_reader`` tells whether
+    the store serves the reader of the own data centre.
     """
 
     def __init__(
@@ -67,6 +70,9 @@
         relay: Callable[[bytes], None],
         on_newer_config: Callable[[str], None],
         on_new_nodes: Callable[[list[Peer]], None],
+        evacuations: Evacuations | None = None,
+        era: StoreEra | None = None,
+        has_reader: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -80,6 +86,9 @@
         self._relay = relay
         self._on_newer_config = on_newer_config
         self._on_new_nodes = on_new_nodes
+        self._evacuations = evacuations if evacuations is not None else Evacuations()
+        self._era = era if era is not None else StoreEra(clock)
+        self._has_reader = has_reader
         self._requests: dict[str, asyncio.Task[None]] = {}
         self._sources: dict[str, str] = {}
         """The node of each data centre that sent the last summary."""
@@ -105,9 +114,28 @@
         calls = self._graph.merged([p.calls for p in directory.local_peers()])
         proof_ms = self._configuration.age_ms()
         return Summary(
-            0, directory.own, 0, nodes, uses, calls, self._configuration.version, proof_ms
+            0,
+            directory.own,
+            0,
+            nodes,
+            uses,
+            calls,
+            self._configuration.version,
+            proof_ms,
+            self._evacuations.entries(),
+            self._has_reader(),
+            store_era=self._era.number,
         )
 
+    def expire_cache(self) -> None:
+        """Make the next summary anew, since this node has learnt what others need soon."""
+        self._cached_at = float("-inf")
+
+    def _apply(self, summary: Summary, made_at: float) -> None:
+        self._on_new_nodes(self._directory.apply_summary(summary, made_at))
+        self._era.learn(summary.store_era)
+        self._evacuations.merge(summary.evacuations)
+
     def relayed(self, summary: Summary) -> None:
         """Apply a summary that another node of the own data centre requested and relayed.
 
@@ -116,7 +144,7 @@
         confirmation when it is asked.
         """
         made_at = self._clock.now() - summary.age_ms / 1000 - CLOCK_ERROR_S
-        self._on_new_nodes(self._directory.apply_summary(summary, made_at))
+        self._apply(summary, made_at)
 
     async def run(self) -> None:
         """Request the summaries that this node is responsible for, until cancelled."""
@@ -155,7 +183,7 @@
             return
         self._sources[name] = peer.member.address
         made_at = requested_at - summary.age_ms / 1000
-        self._on_new_nodes(self._directory.apply_summary(summary, made_at))
+        self._apply(summary, made_at)
         if summary.proof_ms >= 0:
             # ``proof_ms`` is the age of the confirmation when the summary was made.
             self._configuration.confirm(summary.version, made_at - summary.proof_ms / 1000)
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -416,8 +416,8 @@
     Mutant(
         "mesh: nodes elsewhere that nobody names any more get nothing",
         "mesh/directory.py",
-        "                now - peer.summarised_at < SUMMARY_EXPIRY_S\n",
-        "                peer.summarised_at > 0.0\n",
+        "            now - peer.summarised_at < SUMMARY_EXPIRY_S\n",
+        "            peer.summarised_at > 0.0\n",
         SCALE + "DirectoryTest",
     ),
     Mutant(
--- a/tests/test_mesh_scale.py
+++ b/tests/test_mesh_scale.py
@@ -535,6 +535,9 @@
     async def remove_departures(self, addresses):
         raise NotImplementedError
 
+    async def record_era(self, number):
+        raise NotImplementedError
+
     def close(self):
         pass
 
