Mesh: evacuations and eras of the store: tests, and a stand-in store that can be restored

Tested: what a node believes of reads and messages around a restore, 30 followers in virtual time while the store lacks the last records, and real nodes.

--- a/beryldrum/standin/platform.py
+++ b/beryldrum/standin/platform.py
@@ -43,6 +43,12 @@
     def end(self) -> int:
         return self.first + len(self.records)
 
+    def copy(self) -> "_Topic":
+        """Return a copy, as a snapshot of the store has it."""
+        topic = _Topic()
+        topic.first, topic.records, topic.newest = self.first, [*self.records], {**self.newest}
+        return topic
+
     def add(self, record: bytes, keyed: bool) -> None:
         if keyed:
             key_end = 1 + record[0]
@@ -60,6 +66,7 @@
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
+        self.era = 0
         self.calls = 0
         self.max_read_records = 1_000
         """Most records in one response; the real store limits the bytes of a response."""
@@ -71,8 +78,13 @@
         app.router.add_post("/log-append", self._append)
         app.router.add_get("/log-read", self._read)
         app.router.add_get("/log-newest", self._newest)
+        app.on_response_prepare.append(self._add_era)
         return app
 
+    async def _add_era(self, req: web.Request, response: web.StreamResponse) -> None:
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+
     def topic(self, name: str) -> _Topic:
         """Return the topic called ``name``, creating it on first use."""
         return self._topics.setdefault(name, _Topic())
@@ -81,6 +93,22 @@
         """Publish a configuration as the operator does."""
         self.topic("keyed.op").add(b"\x06config" + config, keyed=True)
 
+    def evacuate(self, data_centre: str, value: bytes = b"{}") -> None:
+        """Write the record of an evacuation as the operator does; without a value, cancel it."""
+        key = f"evacuate/{data_centre}".encode()
+        self.topic("keyed.op").add(bytes((len(key),)) + key + value, keyed=True)
+
+    def snapshot(self) -> dict[str, _Topic]:
+        """Return a copy of all topics for :meth:`restore`."""
+        return {name: topic.copy() for name, topic in self._topics.items()}
+
+    def restore(self, snapshot: dict[str, _Topic]) -> None:
+        """Go back to a snapshot, which begins a new era; what was written since is lost."""
+        before, self._topics = self._topics, {n: topic.copy() for n, topic in snapshot.items()}
+        self.era += 1
+        for topic in before.values():
+            topic.changed.set()
+
     def truncate(self, name: str) -> None:
         """Expire the records of a topic; the newest record of each key remains."""
         topic = self.topic(name)
@@ -112,7 +140,7 @@
     async def _read(self, req: web.Request) -> web.Response:
         await self._apply_faults()
         topic, position = self.topic(req.query["topic"]), int(req.query["from"])
-        if position < topic.first:
+        if not topic.first <= position <= topic.end:
             return web.json_response({"first_offset": topic.first}, status=410)
         if position >= topic.end:
             try:
@@ -120,6 +148,10 @@
                     await topic.changed.wait()
             except TimeoutError:
                 pass
+            # The store may have been restored meanwhile.
+            topic = self.topic(req.query["topic"])
+        if position > topic.end:
+            return web.json_response({"first_offset": topic.first}, status=410)
         records = topic.records[max(0, position - topic.first) :][: self.max_read_records]
         body = b"".join(LENGTH_PREFIX.pack(len(record)) + record for record in records)
         return web.Response(body=OFFSETS_HEADER.pack(topic.end, topic.first) + body)
--- a/tests/mesh_store_simulation.py
+++ b/tests/mesh_store_simulation.py
@@ -329,6 +329,8 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def start(self):
+        # A node reads the members at its start.
+        self.era.observe(self.fleet.store.era)
         runs = (self.follower.run, self.summaries.run, self._heartbeats)
         self.tasks = [asyncio.create_task(run()) for run in runs]
 
--- /dev/null
+++ b/tests/test_mesh_evacuation.py
@@ -0,0 +1,286 @@
+"""Tests of evacuations, and of a store that was restored from an older copy."""
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from beryldrum.clock import ManualClock
+from beryldrum.mesh.evacuation import MAX_ENTRIES, EvacuationRead, Evacuations
+from beryldrum.mesh.frames import Evacuation
+from beryldrum.mesh.store_era import SETTLE_S, StoreEra
+from tests.mesh_fleet import Fleet, config, until
+from tests.mesh_store_simulation import SimulatedFleet, run
+
+ON, OFF = True, False
+
+
+def read(end, records=None, complete=True, era=0):
+    """Return a read of a log of length ``end``; records are (evacuated, position) by name."""
+    return EvacuationRead(records or {}, end, complete, era)
+
+
+class EvacuationsTest(TestCase):
+    """Which of several reads and messages is believed."""
+
+    @parameterized.expand(
+        [
+            # reads with whether the era is settled, entries of others, whether dc1 is evacuated
+            ("a record", [(read(3, {"dc1": (ON, 3)}), True)], [], True),
+            ("cancelled", [(read(3, {"dc1": (ON, 3)}), True), (read(4), True)], [], False),
+            (
+                "cancelled by a record",
+                [(read(3, {"dc1": (ON, 3)}), True), (read(4, {"dc1": (OFF, 4)}, OFF), True)],
+                [],
+                False,
+            ),
+            ("an older entry", [(read(9, {"dc1": (ON, 9)}), True)], [(OFF, 0, 8)], True),
+            ("a newer entry", [(read(9, {"dc1": (ON, 9)}), True)], [(OFF, 0, 10)], False),
+            ("a late entry after a read without it", [(read(9), True)], [(ON, 0, 8)], False),
+            ("a newer entry than the read", [(read(9), True)], [(ON, 0, 10)], True),
+            (
+                "a malformed record proves nothing",
+                [(read(9, {"dc1": (None, 9)}), True)],
+                [(ON, 0, 8)],
+                True,
+            ),
+            (
+                "the copy lacks it",
+                [(read(9, {"dc1": (ON, 9)}), True), (read(7, era=1), False)],
+                [],
+                True,
+            ),
+            (
+                "the copy still lacks it later",
+                [(read(9, {"dc1": (ON, 9)}), True), (read(7, era=1), True)],
+                [],
+                False,
+            ),
+            (
+                "the copy has it though it was cancelled",
+                [
+                    (read(9, {"dc1": (ON, 5)}), True),
+                    (read(12), True),
+                    (read(7, {"dc1": (ON, 5)}, era=1), False),
+                ],
+                [],
+                False,
+            ),
+            (
+                "cancelled by another node's news, and the copy has it",
+                [(read(6, {"dc1": (ON, 5)}), True), (read(8, {"dc1": (ON, 8)}, era=1), False)],
+                [(OFF, 0, 9)],
+                True,
+            ),
+            (
+                "written in the new era",
+                [
+                    (read(9), True),
+                    (read(7, era=1), False),
+                    (read(8, {"dc1": (ON, 8)}, OFF, era=1), False),
+                ],
+                [],
+                True,
+            ),
+            (
+                "cancelled in the new era",
+                [
+                    (read(9, {"dc1": (ON, 9)}), True),
+                    (read(7, era=1), False),
+                    (read(8, {"dc1": (OFF, 8)}, OFF, era=1), False),
+                ],
+                [],
+                False,
+            ),
+            (
+                "the first read of a process ranks below others",
+                [(read(9, {"dc1": (ON, 5)}, era=1), False)],
+                [(OFF, 0, 7)],
+                False,
+            ),
+            ("and is believed without them", [(read(9, {"dc1": (ON, 5)}, era=1), False)], [], True),
+            (
+                "an answer of the era before",
+                [(read(2, era=1), True), (read(9, {"dc1": (ON, 9)}), True)],
+                [],
+                False,
+            ),
+        ]
+    )
+    def test_reads_and_entries(self, _, reads, entries, expected):
+        evacuations = Evacuations()
+        for one, settled in reads:
+            evacuations.observe(one, settled)
+        evacuations.merge(Evacuation("dc1", *entry) for entry in entries)
+        self.assertEqual(expected, evacuations.evacuated("dc1"))
+
+    def test_an_entry_merged_before_the_copy_is_read(self):
+        evacuations = Evacuations()
+        evacuations.observe(read(6, {"dc1": (ON, 5)}), True)
+        evacuations.merge([Evacuation("dc1", False, 0, 9)])
+        # Position 8 is beyond what this node has read, but before the cancellation.
+        evacuations.observe(read(8, {"dc1": (ON, 8)}, era=1), False)
+        self.assertFalse(evacuations.evacuated("dc1"))
+
+    def test_callbacks_only_on_a_change(self):
+        evacuations, changes = Evacuations(), []
+        evacuations.on_change.append(lambda: changes.append(evacuations.evacuated("dc1")))
+        for end in (3, 4, 5):
+            evacuations.observe(read(end, {"dc1": (ON, 3)}), True)
+        evacuations.observe(read(6), True)
+        self.assertEqual([True, False], changes)
+
+    def test_names_without_end_are_bounded(self):
+        evacuations = Evacuations()
+        for number in range(1, 500):
+            evacuations.observe(read(number, {f"x{number}": (ON, number)}), True)
+        self.assertLessEqual(len(evacuations.entries()), MAX_ENTRIES)
+
+
+class StoreEraTest(TestCase):
+    """When the store is known to have again what was written before."""
+
+    def test_a_running_process(self):
+        clock = ManualClock()
+        era = StoreEra(clock)
+        changes = []
+        era.on_change.append(lambda: changes.append(era.number))
+        self.assertTrue(era.observe(0) and era.settled)
+        self.assertFalse(era.observe(1))
+        self.assertEqual(([1], False, True), (changes, era.settled, era.confirms))
+        clock.advance(SETTLE_S)
+        self.assertTrue(era.settled and era.take_reread())
+        self.assertFalse(era.take_reread())
+
+    def test_a_process_that_has_just_started(self):
+        era = StoreEra(ManualClock())
+        era.observe(3)
+        self.assertFalse(era.settled or era.confirms)
+        era.settle(2)
+        self.assertFalse(era.settled)
+        era.settle(3)
+        self.assertTrue(era.settled and era.confirms)
+
+
+class RestoredStoreTest(TestCase):
+    """A large fleet in virtual time, whose store goes back to an older copy."""
+
+    def play(self, lost, check, rejected=0, restart=False):
+        """Write, lose what ``lost`` writes, and call ``check`` for each node at each moment."""
+
+        async def case(clock):
+            fleet = SimulatedFleet(clock, 5, hosts=30, data_centres=3)
+            store = fleet.store
+            store.write("evacuate/dc0", True)
+            fleet.start()
+            await asyncio.sleep(4.0)
+            length = len(store.records)
+            lost(store)
+            await asyncio.sleep(2.5)
+            written = store.records[length:]
+            store.restore(length)
+            if restart:
+                fleet.restart()
+            end = clock.now() + 4.0
+            while clock.now() < end:
+                await asyncio.sleep(0.05)
+                for node in fleet.nodes.values():
+                    check(node)
+            for key, value in written:
+                store.write(key, value)
+            await asyncio.sleep(SETTLE_S + 2.0)
+            for node in fleet.nodes.values():
+                check(node)
+                self.assertLess(node.configuration.age_s(), 4.0)
+                self.assertEqual(1, node.era.number)
+
+        run(case)
+
+    def test_a_lost_configuration_is_kept_and_not_confirmed(self):
+        def check(node):
+            self.assertEqual(2, node.configuration.version)
+
+        self.play(lambda store: store.write("config", 2), check)
+
+    def test_a_lost_evacuation_is_kept(self):
+        def check(node):
+            self.assertTrue(node.evacuations.evacuated("dc2"))
+
+        self.play(lambda store: store.write("evacuate/dc2", True), check)
+
+    def test_a_lost_cancellation_is_kept(self):
+        def check(node):
+            self.assertFalse(node.evacuations.evacuated("dc0"))
+
+        self.play(lambda store: store.write("evacuate/dc0", False), check)
+
+    def test_processes_that_all_start_then_trust_no_old_configuration(self):
+        def check(node):
+            configuration = node.configuration
+            self.assertTrue(configuration.version == 2 or configuration.age_s() == float("inf"))
+
+        self.play(lambda store: store.write("config", 2), check, restart=True)
+
+
+class RealNodesTest(unittest.IsolatedAsyncioTestCase):
+    """Real nodes and a stand-in store."""
+
+    async def test_an_evacuation_of_a_restarted_fleet_and_of_a_node_without_the_store(self):
+        async with Fleet("shop", "stock", "stock") as fleet:
+            hosts = await fleet.serve()
+            for number in range(600):
+                fleet.store.evacuate(f"a{number:04}", b"odd")
+            fleet.store.evacuate("dc1")
+            for host in hosts:
+                await until(lambda host=host: host.node.evacuations.evacuated("dc1"))
+            for host in hosts:
+                await host.node.close()
+            hosts[0].cfg = hosts[0].cfg._replace(store="127.0.0.1:9")
+            for host in hosts:
+                await host.start()
+            for host in hosts:
+                await until(lambda host=host: host.node.evacuations.evacuated("dc1"))
+            fleet.store.evacuate("dc1", b"[odd")
+            await asyncio.sleep(0.3)
+            self.assertTrue(all(host.node.evacuations.evacuated("dc1") for host in hosts))
+            fleet.store.evacuate("dc1", b"")
+            for host in hosts:
+                await until(lambda host=host: not host.node.evacuations.evacuated("dc1"))
+
+    async def test_members_and_departures_are_written_again(self):
+        async with Fleet("shop", "stock") as fleet:
+            snapshot = fleet.store.snapshot()
+            hosts = await fleet.serve()
+            shop = hosts[0]
+            born = shop.node.target.announcements.current.born_ms
+            await shop.announce(sequence=3, state="draining", born=born)
+            await until(lambda: all(host.node.target.departures_known for host in hosts))
+            fleet.store.restore(snapshot)
+            fleet.store.publish(config())
+
+            async def registered():
+                registry = await shop.store.registry()
+                members = {member.address for member in registry.members}
+                return members >= {h.cfg.nodes for h in hosts} and registry.departures
+
+            async with asyncio.timeout(5.0):
+                while not await registered():
+                    await asyncio.sleep(0.1)
+            departures = (await shop.store.registry()).departures
+            self.assertEqual({shop.target.target_id}, set(departures[shop.cfg.nodes].targets))
+
+    async def test_nodes_take_over_from_rejected_readers(self):
+        # The members do not reject by their own: the store of two nodes is unreachable.
+        async with Fleet("shop", "stock", "shop", "stock", "shop", "stock") as fleet:
+            hosts = await fleet.serve()
+            readers = [host for host in hosts if host.node.follower.readers.is_reader()]
+            self.assertEqual(4, len(readers))
+            for host in readers:
+                host.store._pool.address = "127.0.0.1:9"
+                for conn in host.store._pool._idle:
+                    conn.abort()
+            await asyncio.sleep(1.6)
+            fleet.store.publish(config(version=2))
+            for host in hosts:
+                await until(lambda host=host: host.node.configuration.version == 2, 2.0)
