--- a/beryldrum/mesh/follow.py
+++ b/beryldrum/mesh/follow.py
@@ -25,6 +25,7 @@
 from .explain import Explainer
 from .frames import Document, DocumentRequest
 from .links import Link
+from .metrics import StoreState
 from .readers import READERS_PER_DATA_CENTRE, Readers
 from .store import Store, Watch
 from .store_era import StoreEra
@@ -282,6 +283,11 @@
             self._explainer.event("store reader", reads=reader, rejected=self.readers.rejected)
         return reader or (self.readers.rejected and self.readers.probes())
 
+    def state(self) -> StoreState:
+        """Return how this node stands to the store, for the metrics."""
+        evacuated = [e.data_centre for e in self._evacuations.entries() if e.evacuated]
+        return StoreState(self._was_reader, self.readers.rejected, self._era.number, evacuated)
+
     def rank(self) -> int:
         """Return how many connected nodes of this data centre have a lower address."""
         return self.readers.rank()
--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -10,7 +10,7 @@
 from .http import HttpRequest, HttpResponse, HttpService
 from .quota import RateState
 
-__all__ = ["MeshMetrics", "TargetState"]
+__all__ = ["MeshMetrics", "StoreState", "TargetState"]
 
 MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
@@ -41,21 +41,32 @@
     notices_ignored: int
 
 
+class StoreState(NamedTuple):
+    """How this node stands to the store, and the data centres that are evacuated."""
+
+    reads: bool
+    rejected: bool
+    era: int
+    evacuated: list[str]
+
+
 class MeshMetrics(HttpService):
     """The metrics of a node, in the Prometheus text format.
 
     ``rates`` returns the states of the organisations' rates, ``target`` that of the
-    target on this host.
+    target on this host, and ``store`` how the node stands to the store.
     """
 
     def __init__(
         self,
         rates: Callable[[], list[RateState]] = list,
         target: Callable[[], TargetState] = lambda: TargetState({}, None, 0),
+        store: Callable[[], StoreState] = lambda: StoreState(False, False, 0, []),
     ) -> None:
         self.requests: Counter[str] = Counter()
         self._rates = rates
         self._target = target
+        self._store = store
         self._buckets: Counter[int] = Counter()
         self._longest_hold_s = 0.0
         self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
@@ -86,7 +97,7 @@
         lines.append("# TYPE beryldrum_loop_hold_seconds gauge")
         lines.append(f"beryldrum_loop_hold_seconds {self._longest_hold_s:g}")
         self._longest_hold_s = 0.0
-        lines += self._target_lines() + self._rate_lines()
+        lines += self._target_lines() + self._rate_lines() + self._store_lines()
         return "\n".join(lines) + "\n"
 
     def _target_lines(self) -> list[str]:
@@ -101,6 +112,18 @@
             lines.append(f"beryldrum_target_rate_limit {state.rate_limit:g}")
         return lines
 
+    def _store_lines(self) -> list[str]:
+        state = self._store()
+        lines = []
+        for name in ("reads", "rejected", "era"):
+            lines.append(f"# TYPE beryldrum_store_{name} gauge")
+            lines.append(f"beryldrum_store_{name} {int(getattr(state, name))}")
+        lines.append("# TYPE beryldrum_evacuated gauge")
+        for name in state.evacuated:
+            label = msgspec.json.encode(name).decode()
+            lines.append(f"beryldrum_evacuated{{data_centre={label}}} 1")
+        return lines
+
     def _rate_lines(self) -> list[str]:
         lines = []
         states = self._rates()
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -220,7 +220,9 @@
         self.departures = DepartureRecorder(
             self.clock, store, address, self.explainer, self.target.announcements.departures
         )
-        self.metrics = MeshMetrics(self.quotas.states, self._target_state)
+        self.metrics = MeshMetrics(
+            self.quotas.states, self._target_state, lambda: self.follower.state()
+        )
         self.stopping = False
         self._replaced_target: Announcement | None = None
         """The target whose service is no longer that of the settings."""
