--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -101,6 +101,7 @@
         ]
         self.faults = {host.name: LinkFault() for host in self.hosts}
         self._version = 0
+        self._document = b""
         self._key_owners = {f"k-{number}": "mart" for number in range(6)} | {"k-hot": "hot"}
         self._move_service = "shop"
         self._hot_rate_factor = 1.0
@@ -233,7 +234,8 @@
             },
             "limits": {},
         }
-        self.store.publish(json.dumps(document).encode())
+        self._document = json.dumps(document).encode()
+        self.store.publish(self._document)
 
     # Faults: each coroutine injects one; temporary ones are removed after ``seconds``
 
@@ -322,6 +324,27 @@
         await asyncio.sleep(seconds)
         self.store.faults = StoreFaults()
 
+    async def restore_store(self, host: Host, seconds: float) -> None:
+        """Restore the store from a snapshot that is some seconds old.
+
+        The operator writes the configuration again a little later if it was lost.
+        """
+        if "store" in self._restarting:
+            return
+        self._restarting.add("store")
+        snapshot, document = self.store.snapshot(), self._document
+        await asyncio.sleep(min(4.0, seconds))
+        outage_s, rewrite_s = self.rng.uniform(0.1, 1.0), self.rng.uniform(0.0, 2.0)
+        self._mark_faulty("store", outage_s + rewrite_s)
+        self.store.faults = StoreFaults(down=True)
+        await asyncio.sleep(outage_s)
+        self.store.restore(snapshot)
+        self.store.faults = StoreFaults()
+        await asyncio.sleep(rewrite_s)
+        if self._document != document:
+            self.store.publish(self._document)
+        self._restarting.discard("store")
+
     async def mood(self, host: Host, seconds: float) -> None:
         """Inject faults into a share of a target's requests."""
         target = self.targets[host.name]
@@ -380,7 +403,8 @@
         """Inject overlapping faults for ``seconds``, then check that the fleet recovers."""
         kinds: list[Callable[[Host, float], Awaitable[None]]] = [
             self.freeze, self.kill, self.stop, self.link, self.link, self.store_fault,
-            self.mood, self.replace, self.limit, self.limit, self.withdraw, self.move, self.heat,
+            self.restore_store, self.mood, self.replace, self.limit, self.limit, self.withdraw,
+            self.move, self.heat,
         ]  # fmt: skip
         until = self.checker.now() + seconds
         active: set[asyncio.Task[Any]] = set()
--- a/tests/test_mesh_store_rejection.py
+++ b/tests/test_mesh_store_rejection.py
@@ -5,6 +5,10 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from beryldrum.clock import ManualClock
+from beryldrum.mesh.directory import Directory
+from beryldrum.mesh.frames import Load, Member, NodeLoad, State, Summary
+from beryldrum.mesh.readers import Readers
 from tests.mesh_store_simulation import SimulatedFleet, run
 
 DEADLINE_S = 2.5
@@ -80,6 +84,50 @@
         self.assertLess(self.latest(mode, pattern, seed), DEADLINE_S)
 
 
+class ReadersTest(TestCase):
+    """Which nodes read the store, by what they have heard of others."""
+
+    @parameterized.expand(
+        [
+            # node, its data centre, rejected nodes as (data centre, node), whether it reads
+            ("the first of the first data centre", 0, 0, [], True),
+            ("the second", 1, 0, [], False),
+            ("the first of the third data centre", 0, 2, [], False),
+            ("the next one", 1, 0, [(0, 0)], True),
+            ("one more", 2, 0, [(0, 0), (0, 1)], True),
+            ("a third one", 4, 0, [(0, 0), (0, 1)], True),
+            ("not all", 5, 0, [(0, 0), (0, 1)], False),
+            ("the next data centre", 0, 2, [(0, 0)], True),
+            ("not one more", 0, 3, [(0, 0)], False),
+            ("for both", 0, 3, [(0, 0), (1, 0)], True),
+            ("when another than the reader is rejected", 1, 0, [(0, 5)], False),
+            ("when the store is likely to reject all", 14, 0, [(0, n) for n in range(13)], False),
+        ]
+    )
+    def test_reader(self, _, number, data_centre, rejected, expected):
+        clock = ManualClock()
+        members = [
+            Member(f"10.0.{centre}.{n + 10}:1", f"dc{centre}", 1)
+            for centre in range(4)
+            for n in range(20)
+        ]
+        own = members[data_centre * 20 + number]
+        directory = Directory(clock, own)
+        for member in members:
+            directory.add(member)
+        for centre in {0, 1, 2, 3} - {data_centre}:
+            source = members[centre * 20]
+            loads = [NodeLoad(source, Load())]
+            directory.apply_summary(Summary(0, source, 0, loads, {}, {}, 1, 0), 0.0)
+        for peer in directory.peers.values():
+            directory.set_connected(peer, directory.is_local(peer))
+        clock.advance(0.1)
+        for centre, n in rejected:
+            state = State(members[centre * 20 + n], Load(), 1, 0, {}, {}, store_rejected=True)
+            directory.apply_state(state, clock.now())
+        self.assertEqual(expected, Readers(clock, directory).is_reader())
+
+
 class CallsTest(TestCase):
     """Each call of the store is charged for."""
 
