--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -698,7 +698,7 @@
         "mesh/follow.py",
         "            if not done:\n",
         "            if False:\n",
-        "tests/test_mesh_store_rejection.py::RejectedReadersTest",
+        "tests/test_mesh_store_rejection.py::AnnouncementTest",
     ),
     Mutant(
         "mesh: another data centre reads when the reader of one is rejected",
