Mesh: a position of an earlier era of the store is not used, and a settled era is recorded

A follower that had learnt of the new era from another node kept a position of the era before and never saw what was written there. Departures are removed only in a settled era.

--- a/beryldrum/mesh/follow.py
+++ b/beryldrum/mesh/follow.py
@@ -153,11 +153,11 @@
             async with asyncio.timeout(MEMBERS_READ_TIMEOUT_S):
                 await self.members_read.wait()
         started_at = self._clock.now()
-        first_poll = True
+        first_poll, read_era = True, 0
         while True:
             reader = self._is_reader()
             if self._awaits_first_copy(started_at) or (
-                not reader and self._is_confirmed_recently()
+                not reader and (self._is_confirmed_recently() or not self._era.confirms)
             ):
                 await self._sleep(AGE_CHECK_S * self._rng.uniform(0.8, 1.2))
                 continue
@@ -177,17 +177,17 @@
             self._set_rejected(False)
             pause_s = STORE_RETRY_S
             first_poll = not watch.waited_s
-            same_era = self._era.observe(watch.era)
-            if watch.era < self._era.number or (not same_era and position >= 0):
+            self._era.observe(watch.era)
+            if watch.era < self._era.number or (position >= 0 and watch.era != read_era):
                 # The position, and what the answer confirms, were those of the era before.
                 position = -1
                 await self._sleep(ERA_REREAD_S)
                 continue
-            position = watch.position
-            self._take(watch, asked_at)
+            position, read_era = watch.position, watch.era
+            changed = self._take(watch, asked_at)
             if self._era.take_reread():
                 position = -1
-            elif watch.text is None and not watch.waited_s:
+            elif watch.text is None and not watch.waited_s and not changed:
                 await self._sleep(STORE_RETRY_S)
 
     async def _ask(self, position: int, wait_s: float) -> Watch:
@@ -206,8 +206,11 @@
         finally:
             task.cancel()
 
-    def _take(self, watch: Watch, asked_at: float) -> None:
-        """Apply what a read has brought; evacuations come before what confirms them."""
+    def _take(self, watch: Watch, asked_at: float) -> bool:
+        """Apply what a read has brought; returns whether anything changed.
+
+        Evacuations come before the confirmation that includes them.
+        """
         changed = False
         if watch.evacuations is not None:
             changed = self._evacuations.observe(watch.evacuations, self._era.settled)
@@ -216,9 +219,11 @@
             self._stored_version = self._apply(watch.text, asked_at, "store")
         elif self._stored_version >= 0 and self._era.confirms:
             self._configuration.confirm(self._stored_version, asked_at + watch.waited_s)
-        if changed or self._configuration.version != version:
+        changed = changed or self._configuration.version != version
+        if changed:
             for callback in self.on_store_change:
                 callback()
+        return changed
 
     def _poll_s(self, first: bool) -> float:
         """Return the duration of a long poll, which is longer before the first configuration.
--- a/beryldrum/mesh/membership.py
+++ b/beryldrum/mesh/membership.py
@@ -24,6 +24,9 @@
 MEMBERS_POLL_LARGE_S = 180.0
 """That period in a large fleet, except for the first node of each data centre."""
 
+ERA_SPREAD_S = 1.0
+"""Time over which the nodes of a large fleet register again in a new era of the store."""
+
 DEPARTURE_RETENTION_S = 600.0
 """Time after which the departures of a host that no longer exists are removed."""
 
@@ -96,16 +99,20 @@
                 self._registered = self._member in members and current
                 first = not self._directory.large or not self._follower.rank()
                 period_s = MEMBERS_POLL_S if first or not self._registered else MEMBERS_POLL_LARGE_S
-                if not self._follower.rank():
+                rank = self._follower.rank()
+                # Before the era is settled, hosts that exist may be missing in the store.
+                if not rank and self._era.settled:
                     await self.remove_old_departures(registry)
-                    if self._era.settled and registry.settled_era < registry.era:
+                    if registry.settled_era < registry.era:
                         await self._store.record_era(self._era.number)
                 period_s *= self._rng.uniform(0.8, 1.2)
-                if not self._era.settled:
+                if not self._era.settled and not (rank and self._target.departures_known):
                     period_s = self._era.settles_in_s() + STORE_RETRY_S
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(period_s):
                         await self._new_era.wait()
+                if self._new_era.is_set() and self._directory.large:
+                    await asyncio.sleep(self._rng.uniform(0.0, ERA_SPREAD_S))
             except LogError as exc:
                 self._explainer.event("members not read", error=repr(exc))
                 self._follower.members_read.set()
--- a/beryldrum/mesh/store_era.py
+++ b/beryldrum/mesh/store_era.py
@@ -43,15 +43,15 @@
         """Whether the store has all that the operator has written."""
         return self._clock.now() >= self._settles_at
 
-    def observe(self, number: int) -> bool:
-        """Note the era of an answer of the store; returns whether it is the one known.
+    def observe(self, number: int) -> None:
+        """Note the era of an answer of the store.
 
         For a process that has just started, no era but the first is settled: the store may
         have been restored a moment before.
         """
         first, self._known = not self._known, True
         if number <= self.number:
-            return number == self.number
+            return
         self.number = number
         self._settles_at = self._clock.now() + SETTLE_S
         self._reread_pending = True
@@ -59,7 +59,6 @@
         if not first:
             for callback in self.on_change:
                 callback()
-        return False
 
     def settle(self, number: int) -> None:
         """Note that a node has found an era to be settled."""
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -763,6 +763,20 @@
         "            more, after = False, last\n",
         "tests/test_mesh_evacuation.py::RealNodesTest",
     ),
+    Mutant(
+        "mesh: a position of the store's era before is not used",
+        "mesh/follow.py",
+        "(position >= 0 and watch.era != read_era)",
+        "(position < -1)",
+        "tests/test_mesh_evacuation.py::RestoredStoreTest",
+    ),
+    Mutant(
+        "mesh: a settled era is recorded",
+        "mesh/membership.py",
+        "                        await self._store.record_era(self._era.number)\n",
+        "                        pass\n",
+        "tests/test_mesh_evacuation.py::RealNodesTest",
+    ),
 )
 
 
