Mesh: only the first node of a data centre pushes its rejection; tests with real nodes

Where the store rejects all nodes of a large fleet, twelve of each data centre would have opened connections to the others at once. The tests with real nodes fail without the push, and without the announcement of a rejection.

--- a/beryldrum/mesh/news.py
+++ b/beryldrum/mesh/news.py
@@ -52,7 +52,7 @@
         self._open_link = open_link
         self._tasks: set[asyncio.Task[None]] = set()
         evacuations.on_change.append(self._on_evacuation)
-        follower.on_rejection.append(self._tell_all)
+        follower.on_rejection.append(self._on_rejection)
         follower.on_store_change.append(self._tell_all)
 
     def on_newer(self, state: State) -> None:
@@ -74,6 +74,15 @@
         self._summaries.expire_cache()
         self._broadcast()
 
+    def _on_rejection(self) -> None:
+        # To other data centres only the first node's matters. Where the store rejects all,
+        # dozens of nodes are rejected at once.
+        if self._follower.rank() == 0:
+            self._tell_all()
+        else:
+            self._summaries.expire_cache()
+            self._broadcast()
+
     def _tell_all(self) -> None:
         self._summaries.expire_cache()
         self._broadcast()
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -777,6 +777,13 @@
         "                        pass\n",
         "tests/test_mesh_evacuation.py::RealNodesTest",
     ),
+    Mutant(
+        "mesh: a change is pushed to other data centres",
+        "mesh/news.py",
+        "                self._run(self._tell(peer))\n",
+        "                pass\n",
+        "tests/test_mesh_evacuation.py::RealNodesTest",
+    ),
 )
 
 
--- a/tests/test_mesh_evacuation.py
+++ b/tests/test_mesh_evacuation.py
@@ -8,7 +8,10 @@
 from testtools import TestCase
 
 from beryldrum.clock import ManualClock
-from beryldrum.mesh import store_era
+from beryldrum.mesh import directory as directories
+from beryldrum.mesh import node as nodes
+from beryldrum.mesh import store_era, summaries
+from beryldrum.mesh.client import Pool
 from beryldrum.mesh.evacuation import MAX_ENTRIES, EvacuationRead, Evacuations
 from beryldrum.mesh.frames import Evacuation
 from beryldrum.mesh.store_era import SETTLE_S, StoreEra
@@ -242,6 +245,11 @@
         self.play(lambda store: store.write("config", 2), check, restart=True)
 
 
+def lose_store(host):
+    """Make the store unreachable for a node, but for a call that has begun."""
+    host.store._pool = Pool("127.0.0.1:9")
+
+
 class RealNodesTest(unittest.IsolatedAsyncioTestCase):
     """Real nodes and a stand-in store."""
 
@@ -311,16 +319,32 @@
                         self.assertTrue(host.node.target.departures_known)
 
     async def test_nodes_take_over_from_rejected_readers(self):
-        # The members do not reject by their own: the store of two nodes is unreachable.
         async with Fleet("shop", "stock", "shop", "stock", "shop", "stock") as fleet:
             hosts = await fleet.serve()
             readers = [host for host in hosts if host.node.follower.readers.is_reader()]
             self.assertEqual(4, len(readers))
             for host in readers:
-                host.store._pool.address = "127.0.0.1:9"
-                for conn in host.store._pool._idle:
-                    conn.abort()
+                lose_store(host)
+            # Polls that have begun are still answered.
             await asyncio.sleep(1.6)
             fleet.store.publish(config(version=2))
-            for host in hosts:
-                await until(lambda host=host: host.node.configuration.version == 2, 2.0)
+            await until(lambda: all(h.node.configuration.version == 2 for h in hosts), 1.0)
+
+    async def test_changes_are_pushed_to_a_data_centre_without_the_store(self):
+        small = mock.patch.object(directories, "FULL_MESH_MAX_NODES", 2)
+        # Connections that are open for summaries would get the state, too.
+        with small, mock.patch.object(nodes, "LINK_IDLE_TIMEOUT_S", 0.1):
+            async with Fleet("shop", "stock", "shop", "stock") as fleet:
+                fleet.store.publish(config())
+                for host in fleet.hosts:
+                    await until(lambda host=host: host.node.ready())
+                    await until(lambda host=host: host.node.directory.recent_data_centres())
+                for host in fleet.hosts[1::2]:
+                    lose_store(host)
+                with mock.patch.object(summaries, "SUMMARY_PERIOD_S", 30.0):
+                    await asyncio.sleep(1.4)
+                    fleet.store.evacuate("dc0")
+                    fleet.store.publish(config(version=2))
+                    for host in fleet.hosts[1::2]:
+                        await until(lambda host=host: host.node.configuration.version == 2, 1.0)
+                        self.assertTrue(host.node.evacuations.evacuated("dc0"))
