--- a/tests/test_mesh_store_rejection.py
+++ b/tests/test_mesh_store_rejection.py
@@ -84,6 +84,31 @@
         self.assertLess(self.latest(mode, pattern, seed), DEADLINE_S)
 
 
+class DeadReadersTest(TestCase):
+    """A change is in force in time although the processes that read the store end."""
+
+    def test_both_readers_end_and_the_next_ones_are_rejected(self):
+        found = []
+
+        async def case(clock):
+            fleet = SimulatedFleet(clock, 1, deadline_s=DEADLINE_S)
+            fleet.start()
+            await asyncio.sleep(8.0)
+            readers = fleet.readers()
+            nodes = [node for address, node in fleet.nodes.items() if address not in readers]
+            fleet.store.mode = "silent"
+            fleet.store.rejected = set(first_of(fleet, ("dc0", "dc1"))[:6])
+            for address in readers:
+                fleet.nodes[address].stop()
+            fleet.store.write("config", 2)
+            found.append(
+                await fleet.until(lambda: all(n.configuration.version == 2 for n in nodes), 10.0)
+            )
+
+        run(case)
+        self.assertLess(found[0], DEADLINE_S)
+
+
 class AnnouncementTest(TestCase):
     """A reader does not wait for the time-out of its call to announce a missing answer."""
 
