--- a/beryldrum/mesh/evacuation.py
+++ b/beryldrum/mesh/evacuation.py
@@ -6,7 +6,7 @@
 
 The store may be restored from an older copy, which begins a new era. Until the operator has
 written again what the copy lacks, the copy proves neither that an evacuation is in force nor
-that it was cancelled. So a read shortly after the begin of an era changes only what was
+that it was cancelled. So a read shortly after the start of an era changes only what was
 written since, and what this node knows nothing of. Such an entry has the lowest stamp, since
 another node may know better.
 """
--- a/beryldrum/mesh/follow.py
+++ b/beryldrum/mesh/follow.py
@@ -60,7 +60,7 @@
 """Duration of a long poll that the age of a confirmation may show without being late."""
 
 ERA_REREAD_S = 0.05
-"""Delay before the store is read from the begin in a new era."""
+"""Delay before the store is read from its start in a new era."""
 
 REMOTE_COPY_DELAY_S = 0.4
 """Time after which a newer configuration is copied from another data centre. By then the
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -62,7 +62,7 @@
 from .local_target import LocalTarget
 from .membership import Membership
 from .metrics import MeshMetrics, TargetState
-from .news import News
+from .propagation import Propagation
 from .quota import Quotas, Tolerance
 from .settings import MeshSettings
 from .store import Store
@@ -293,7 +293,7 @@
             self.era,
             self.follower.readers.has_reader,
         )
-        self.news = News(
+        self.propagation = Propagation(
             self.directory,
             self.follower,
             self.evacuations,
@@ -437,7 +437,7 @@
             self._add_member(message.member)
             self._apply_state(message, self.clock.now() - 1e-3, answered=False)
             if message.version > self.configuration.version:
-                self.news.on_newer(message)
+                self.propagation.on_newer(message)
         elif isinstance(message, GrantRequest):
             link.send(self.homes.grant(message))
         elif isinstance(message, GrantReturn):
--- a/beryldrum/mesh/news.py
+++ b/beryldrum/mesh/propagation.py
@@ -18,13 +18,13 @@
 from .links import Link
 from .summaries import Summaries
 
-__all__ = ["News"]
+__all__ = ["Propagation"]
 
 PUSH_TIMEOUT_S = 0.3
 """Time limit for opening a connection; after that, the next summary brings the change."""
 
 
-class News:
+class Propagation:
     """Pushes this node's state when the store or another node has changed it.
 
     ``broadcast`` sends the state to all nodes that a connection is open to, ``state`` returns
@@ -53,7 +53,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         evacuations.on_change.append(self._on_evacuation)
         follower.on_rejection.append(self._on_rejection)
-        follower.on_store_change.append(self._tell_all)
+        follower.on_store_change.append(self._push_to_all)
 
     def on_newer(self, state: State) -> None:
         """Copy the newer configuration of the node whose state was received.
@@ -78,17 +78,17 @@
         # To other data centres only the first node's matters. Where the store rejects all,
         # dozens of nodes are rejected at once.
         if self._follower.rank() == 0:
-            self._tell_all()
+            self._push_to_all()
         else:
             self._summaries.expire_cache()
             self._broadcast()
 
-    def _tell_all(self) -> None:
+    def _push_to_all(self) -> None:
         self._summaries.expire_cache()
         self._broadcast()
         if self._directory.large:
-            for peer in self._follower.readers.heads():
-                self._run(self._tell(peer))
+            for peer in self._follower.readers.push_targets():
+                self._run(self._push(peer))
 
     def _run(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
@@ -105,7 +105,7 @@
         else:
             self._follower.copy_from(peer.member.address, immediately=True)
 
-    async def _tell(self, peer: Peer) -> None:
+    async def _push(self, peer: Peer) -> None:
         try:
             link = await self._open_link(peer, PUSH_TIMEOUT_S)
             link.write(self._state())
--- a/beryldrum/mesh/readers.py
+++ b/beryldrum/mesh/readers.py
@@ -38,7 +38,7 @@
 REJECTION_LIFE_S = 10.0
 """Time after which other rejected nodes count as served again."""
 
-HEADS = 2
+PUSH_TARGETS = 2
 """Nodes of another data centre to which a change is pushed. They are the first by address,
 which become its readers first."""
 
@@ -126,10 +126,10 @@
         names = sorted([own, *self._directory.recent_data_centres()])
         return min(names.index(own), READING_DATA_CENTRES - 1), READING_DATA_CENTRES
 
-    def heads(self) -> list[Peer]:
+    def push_targets(self) -> list[Peer]:
         """Return the nodes of other data centres to which a change is pushed."""
         found = []
         for peers in self._directory.peers_by_data_centre().values():
             known = [p for p in peers if self._directory.is_serving(p)]
-            found += sorted(known, key=lambda p: p.member.address)[:HEADS]
+            found += sorted(known, key=lambda p: p.member.address)[:PUSH_TARGETS]
         return found
--- a/beryldrum/mesh/store_era.py
+++ b/beryldrum/mesh/store_era.py
@@ -11,7 +11,7 @@
 __all__ = ["StoreEra"]
 
 SETTLE_S = 6.0
-"""Time after the begin of an era in which the operator and the targets write again what the
+"""Time after the start of an era in which the operator and the targets write again what the
 store has lost. It is also the longest for which a cancelled evacuation may stay in force, if
 it was cancelled in the new era before any node had read that."""
 
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -779,8 +779,8 @@
     ),
     Mutant(
         "mesh: a change is pushed to other data centres",
-        "mesh/news.py",
-        "                self._run(self._tell(peer))\n",
+        "mesh/propagation.py",
+        "                self._run(self._push(peer))\n",
         "                pass\n",
         "tests/test_mesh_evacuation.py::RealNodesTest",
     ),
--- a/tests/mesh_store_simulation.py
+++ b/tests/mesh_store_simulation.py
@@ -20,7 +20,7 @@
 from beryldrum.mesh.follow import Follower
 from beryldrum.mesh.frames import Document, Load, Member, NodeLoad, State
 from beryldrum.mesh.graph import CallGraph
-from beryldrum.mesh.news import News
+from beryldrum.mesh.propagation import Propagation
 from beryldrum.mesh.quota import Quotas
 from beryldrum.mesh.store import Store, Watch
 from beryldrum.mesh.store_era import StoreEra
@@ -238,7 +238,7 @@
             self.era,
             self.follower.readers.has_reader,
         )
-        self.news = News(
+        self.propagation = Propagation(
             self.directory,
             self.follower,
             self.evacuations,
@@ -318,7 +318,7 @@
         self.era.learn(message.store_era)
         self.evacuations.merge(message.evacuations)
         if message.version > self.configuration.version:
-            self.news.on_newer(message)
+            self.propagation.on_newer(message)
         elif answered and message.proof_ms >= 0:
             self.configuration.confirm(message.version, now - message.proof_ms / 1000)
 
--- a/tests/test_mesh_evacuation.py
+++ b/tests/test_mesh_evacuation.py
@@ -73,7 +73,7 @@
                 False,
             ),
             (
-                "cancelled by another node's news, and the copy has it",
+                "cancelled at another node, and the copy has it",
                 [(read(6, {"dc1": (ON, 5)}), True), (read(8, {"dc1": (ON, 8)}, era=1), False)],
                 [(OFF, 0, 9)],
                 True,
