--- a/tests/test_mesh_evacuation.py
+++ b/tests/test_mesh_evacuation.py
@@ -11,10 +11,11 @@
 from beryldrum.mesh import directory as directories
 from beryldrum.mesh import node as nodes
 from beryldrum.mesh import store_era, summaries
-from beryldrum.mesh.client import Pool
+from beryldrum.mesh.client import Pool, Response
 from beryldrum.mesh.evacuation import MAX_ENTRIES, EvacuationRead, Evacuations
 from beryldrum.mesh.frames import Evacuation
 from beryldrum.mesh.store_era import SETTLE_S, StoreEra
+from beryldrum.platform import store as platform_store
 from tests.mesh_fleet import Fleet, config, until
 from tests.mesh_store_simulation import SimulatedFleet, run
 
@@ -143,6 +144,38 @@
         self.assertLessEqual(len(evacuations.entries()), MAX_ENTRIES)
 
 
+class RecordsTest(TestCase):
+    """Records and headers of the store; a malformed one refers to no data centre and no era."""
+
+    @parameterized.expand(
+        [
+            # key, value, evacuated data centres
+            ("evacuate/dc1", b"{}", ["dc1"]),
+            ("evacuate/dc1", b'{"since": 1}', ["dc1"]),
+            ("evacuate/dc1", b"[]", []),
+            ("evacuate/dc1", b"null", []),
+            ("evacuate/dc1", b"\xff", []),
+            ("evacuate/dc1", b"[" * 5_000, []),
+            ("evacuate/", b"{}", []),
+            ("evacuate/" + 200 * "x", b"{}", []),
+            ("evacuated/dc1", b"{}", []),
+            ("config", b"{}", []),
+        ]
+    )
+    def test_record(self, key, value, expected):
+        one, evacuations = read(1), Evacuations()
+        platform_store._add_evacuation(key, value, 0, one)
+        evacuations.observe(one, True)
+        self.assertEqual(expected, [entry.data_centre for entry in evacuations.entries()])
+
+    @parameterized.expand(
+        [(b"3", 3), (b" 4 ", 4), (b"", 0), (b"-1", 0), (b"x", 0), (b"9" * 5_000, 0)]
+    )
+    def test_era(self, value, expected):
+        response = Response(200, [], {b"store-era": value}, b"")
+        self.assertEqual(expected, platform_store._era(response))
+
+
 class StoreEraTest(TestCase):
     """When the store is known to have again what was written before."""
 
