Mesh: a retry budget carries a second's retries over to later intervals

A node makes few calls to a service, so that its need of retries varies between the intervals of 0.25 s in which they are given out. A request that lacked one retry in an interval failed after its earlier calls were done, while most of the window's budget was unused. Four intervals' retries may now be carried over; the bound of the window is the same.

--- a/beryldrum/mesh/budget.py
+++ b/beryldrum/mesh/budget.py
@@ -37,6 +37,10 @@
 MAX_CARRY = 3.0
 """Retries carried over to a later interval, so that a single failure is retried at once."""
 
+CARRY_INTERVALS = 4
+"""Intervals whose retries may be carried over. A node makes few calls, so that its need
+varies between intervals; a request that lacks one retry has wasted those before it."""
+
 
 class _WindowCounts:
     """Counts of the last one and a half windows, and their sums."""
@@ -124,7 +128,7 @@
     def _start_interval(self) -> None:
         """Set the retries of this interval, and the cutoff so that they meet the demand."""
         share = max(0.0, self._remaining()) / SPEND_INTERVALS
-        self._available = min(self._available, MAX_CARRY) + share
+        self._available = min(self._available, max(MAX_CARRY, CARRY_INTERVALS * share)) + share
         self._cutoff = ORDER_COUNT
         if not self._demanded:
             return
