Mesh: requests whose calls cannot be carried to completion are refused at the entry

When all targets of a service refuse a share of their calls, a request with several calls completes only if the retries that the fleet may send carry it. Most requests did part of their work and failed, and the retries were spread over too many of them.

Nodes report the retries that their targets' calls need and those that their part of the budget sustains (RetryDemand in State and Summary), while the sum is short. Entries admit, of the requests that reach the service through calls, as many as the retries carry, the most important first, and 3 in 100 of each kind in any case. Direct requests are held to the load alone. The order in which calls are retried is now the one in which entries admit.

--- a/beryldrum/mesh/admission.py
+++ b/beryldrum/mesh/admission.py
@@ -8,13 +8,19 @@
 hash of its id, so all entries refuse the same requests of one importance. Of the
 requests exactly at the threshold, which have equal hashes, a random share is admitted.
 
+All targets of a service may refuse or fail a share of their calls. A request that makes
+several calls then completes only if the retries that are allowed carry it. Requests that
+reach the service through calls are admitted, the most important first, up to the number
+whose retries are allowed. A request sent to the service itself needs no more than one
+retry and is held only to the load.
+
 A service may have no reachable target, for instance since its data centre is cut off.
 Requests that need it would fail only after other services have worked on them. They
 are refused before they run, except a few that show whether the service is still called.
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from ..clock import Clock
 from ..request import ADMIT_ALL_LEVEL
@@ -42,10 +48,28 @@
 """Minimum share that is admitted, so that the end of an overload is noticed."""
 
 
+COMPLETION_DECAY = 0.9
+"""Decay of arrivals that reach a service through calls: half after 0.7 s. A change of
+admission shows in the retries that nodes of other data centres report after 0.4 to 1.2 s."""
+
+COMPLETION_SETPOINT = 0.93
+"""Share of the allowed retries that admitted requests may need. In replays, 1.4 to 3 let more
+of the least important requests complete by chance, and fewer of the most important ones."""
+
+MAX_COMPLETION_CORRECTION = 10.0
+"""Upper bound of the correction while retries suffice. It is higher than that for the load:
+when the failures end, admission must rise within a second, and the number of retries needed
+tells how far. With 1.25 it took five seconds."""
+
+MIN_KIND_SHARE = 0.03
+"""Share of the requests of each kind that is admitted however short retries are."""
+
+
 class _Arrivals:
     """The requests that reach one service, by priority."""
 
-    def __init__(self) -> None:
+    def __init__(self, decay: float = DECAY) -> None:
+        self._decay = decay
         self.counts = [0.0] * ADMIT_ALL_LEVEL
         self.offered = 0.0
         self.admitted = 0.0
@@ -73,29 +97,40 @@
 
     def decay(self) -> None:
         """Reduce the weight of past arrivals."""
-        self.counts = [count * DECAY for count in self.counts]
-        self.offered *= DECAY
-        self.admitted *= DECAY
+        self.counts = [count * self._decay for count in self.counts]
+        self.offered *= self._decay
+        self.admitted *= self._decay
 
 
 class AdmissionController:
     """Decides which requests one entry admits.
 
     ``load`` returns the load of a service, where 1 is full, or None if the service has
-    no reachable target.
+    no reachable target. ``retries_needed`` returns the retries that the calls to a service
+    need, as a share of those allowed.
     """
 
     def __init__(
-        self, clock: Clock, rng: random.Random, load: Callable[[str], float | None]
+        self,
+        clock: Clock,
+        rng: random.Random,
+        load: Callable[[str], float | None],
+        retries_needed: Callable[[str], float] = lambda service: 0.0,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._load = load
+        self._retries_needed = retries_needed
         self._services: dict[str, _Arrivals] = {}
+        self._trees: dict[str, _Arrivals] = {}
+        """The requests that reach a service through calls, by service."""
         self._updated_at = clock.now()
 
-    def admits(self, priority: int, services: Iterable[str]) -> bool:
-        """Count a request that reaches ``services`` and tell whether it is admitted."""
+    def admits(self, priority: int, services: Iterable[str], called: Collection[str] = ()) -> bool:
+        """Count a request that reaches ``services`` and tell whether it is admitted.
+
+        It reaches those of ``services`` that are in ``called`` through calls.
+        """
         if self._clock.now() - self._updated_at >= UPDATE_PERIOD_S:
             self._update()
         found, refusing = [], []
@@ -106,6 +141,13 @@
             found.append(arrivals)
             if not self._passes(arrivals, priority):
                 refusing.append(arrivals)
+        for service in called:
+            arrivals = self._trees.get(service)
+            if arrivals is None:
+                arrivals = self._trees[service] = _Arrivals(COMPLETION_DECAY)
+            found.append(arrivals)
+            if not self._passes(arrivals, priority) and self._rng.random() >= MIN_KIND_SHARE:
+                refusing.append(arrivals)
         # A request that one service refuses does not reach the others.
         reached = found if not refusing else refusing if len(refusing) == 1 else []
         for arrivals in reached:
@@ -138,8 +180,23 @@
                 arrivals.set_share(max(MIN_ADMITTED_SHARE, arrivals.admitted_share() * correction))
             arrivals.had_target = full is not None
             arrivals.decay()
+        for service, arrivals in self._trees.items():
+            ratio = COMPLETION_SETPOINT / max(0.01, self._retries_needed(service))
+            correction = min(
+                MAX_COMPLETION_CORRECTION, max(MIN_CORRECTION, ratio**CORRECTION_EXPONENT)
+            )
+            arrivals.set_share(max(MIN_KIND_SHARE, arrivals.admitted_share() * correction))
+            arrivals.decay()
+
+    def admitted_trees(self) -> dict[str, float]:
+        """Return the share admitted recently of requests with calls, where less than 1."""
+        return _shares(self._trees)
 
     def admitted_shares(self) -> dict[str, float]:
         """Return the share admitted recently, by service, where less than 1."""
-        shares = {name: round(a.admitted_share(), 2) for name, a in self._services.items()}
-        return {name: share for name, share in shares.items() if share < 1.0}
+        return _shares(self._services)
+
+
+def _shares(arrivals: Mapping[str, _Arrivals]) -> dict[str, float]:
+    shares = {name: round(a.admitted_share(), 2) for name, a in arrivals.items()}
+    return {name: share for name, share in shares.items() if share < 1.0}
--- a/beryldrum/mesh/budget.py
+++ b/beryldrum/mesh/budget.py
@@ -27,6 +27,13 @@
 """Intervals over which the rest of the window's budget is spent: three seconds, since a
 failure that needs retries is recent and may be short."""
 
+SUSTAIN_INTERVALS = 20
+"""Intervals over which the rest of the budget has to last where admission depends on it:
+five seconds. This is less demand than the budget would serve, since a node's need varies."""
+
+MIN_SUSTAINED_SHARE = 0.1
+"""Minimum of the sustained retries, as a share of those with an unused budget."""
+
 OVERSUBSCRIPTION = 1.5
 """Demand admitted below the cutoff, as a multiple of the retries available. Demand is
 uneven, and retries that are not used in an interval are lost."""
@@ -111,9 +118,22 @@
         self._available -= 1.0
         return True
 
+    def allowed_per_s(self) -> float:
+        """Return the retries per second that can be sustained.
+
+        This is the window's budget spread over the window, or less when little of it is
+        left; a share of it comes free again soon even when nothing is left.
+        """
+        self._advance()
+        sustained = self._allowed() / (WINDOW_INTERVALS * INTERVAL_S)
+        left = self._remaining() / (SUSTAIN_INTERVALS * INTERVAL_S)
+        return min(sustained, max(MIN_SUSTAINED_SHARE * sustained, left))
+
+    def _allowed(self) -> float:
+        return self._ratio * self._requests.maximum() + self.slack
+
     def _remaining(self) -> float:
-        allowed = self._ratio * self._requests.maximum() + self.slack
-        return allowed - self._retries.window - self._retries.current
+        return self._allowed() - self._retries.window - self._retries.current
 
     def _advance(self) -> None:
         passed = int((self._clock.now() - self._interval_start) / INTERVAL_S)
--- a/beryldrum/mesh/directory.py
+++ b/beryldrum/mesh/directory.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from ..clock import Clock
-from .frames import Load, Member, NodeLoad, State, Summary, TargetStatus
+from .frames import Load, Member, NodeLoad, RetryDemand, State, Summary, TargetStatus
 from .quota import Usage, UsageReport
 
 __all__ = ["Directory", "Peer"]
@@ -60,6 +60,7 @@
         """What its target has stated, as last reported; kept when the node restarts."""
         self.calls: dict[str, float] = {}
         self.uses: dict[str, Usage] = {}
+        self.retry_demands: dict[str, RetryDemand] = {}
         self.states_received = 0
         self.stopping = False
         self.connected = False
@@ -117,6 +118,7 @@
         self.has_reader = True
         self.served_at = float("-inf")
         """When the last summary according to which it has a reader was made."""
+        self.retry_demands: dict[str, RetryDemand] = {}
 
     def report(self, name: str) -> UsageReport:
         """Return the rate use of the whole data centre.
@@ -211,6 +213,7 @@
             if remote.has_reader != summary.has_reader:
                 remote.has_reader = summary.has_reader
                 self._readers_changed()
+            remote.retry_demands = summary.retry_demands
         return new
 
     def _readers_changed(self) -> None:
@@ -253,6 +256,7 @@
         peer.member = state.member
         peer.last_seen_at = max(peer.last_seen_at, asked_at)
         peer.calls, peer.uses = state.calls, state.uses
+        peer.retry_demands = state.retry_demands
         if state.data_centre_count:
             # A node that has just started may know only a few nodes of a large fleet.
             self._reported_data_centres = max(self._reported_data_centres, state.data_centre_count)
@@ -371,6 +375,20 @@
         learnt: list[Mapping[str, float]] = [peer.calls for peer in self.peers.values()]
         return learnt + [remote.calls for remote in self._data_centres.values()]
 
+    def retry_demands(self) -> list[Mapping[str, RetryDemand]]:
+        """Return the retry demands that other nodes report, or in a large fleet the summaries.
+
+        Reports that are not renewed expire with the connection or the summary.
+        """
+        if not self.large:
+            return [p.retry_demands for p in self.peers.values() if p.connected and not p.stopping]
+        recent = [self._data_centres[name].retry_demands for name in self.recent_data_centres()]
+        return self.local_retry_demands() + recent
+
+    def local_retry_demands(self) -> list[Mapping[str, RetryDemand]]:
+        """Return the retry demands of the other nodes of this data centre."""
+        return [peer.retry_demands for peer in self.local_peers()]
+
     def summary_age_s(self, data_centre: str) -> float:
         """Return the age of the last summary of a data centre, infinite without one."""
         remote = self._data_centres.get(data_centre)
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -8,11 +8,10 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any, NamedTuple
 
 import msgspec
-import xxhash
 
 from .. import request
 from ..clock import Clock
@@ -27,6 +26,7 @@
 from .exchange import AdmittedRequest, not_run, reason_of, unknown
 from .explain import Explainer
 from .frames import Load, Reply, Run
+from .gate import is_call
 from .graph import CallGraph
 from .homes import RateHomes
 from .http import SINGLETON_HEADERS, HttpRequest, HttpResponse, HttpService
@@ -45,6 +45,9 @@
 ROUTE_RANKS = 4
 """Number of route ranks distinguished within one organisation rank."""
 
+KIND_COHORTS = COHORTS // ROUTE_RANKS
+"""Number of cohorts of the requests of equal ranks."""
+
 MIN_ATTEMPT_MS = 15
 """Remaining time below which an attempt is not made: it could not reach a target and
 return."""
@@ -140,7 +143,7 @@
         if pending.priority < COHORTS:
             return pending
         services = self._services(pending.route)
-        if self._admission.admits(pending.priority, services):
+        if self._admission.admits(pending.priority, services, self._called(pending.route)):
             return pending
         if all(self._admission.has_target(name) for name in services):
             return Refusal(request.SHED, self._retry_after_ms(pending.priority))
@@ -154,6 +157,13 @@
         own = {backend.service for backend in route.service_weights}
         return [name for name in reached if name in own or self._admission.has_target(name)]
 
+    def _called(self, route: Route) -> Collection[str]:
+        """Return the services that requests of ``route`` are known to reach through calls."""
+        if not self._graph.has_calls or self._graph.is_leaf(route):
+            return ()
+        own = {backend.service for backend in route.service_weights}
+        return self._graph.reachable_services(route) - own
+
 
 def priority_at(organisation: int | None, route: Route, request_id: str) -> int:
     """Return the priority of an external request; lower values are shed last.
@@ -162,15 +172,18 @@
     rank of their organisation, then of their route, then by a hash of the request id.
     """
     rank = route.priority if organisation is None else organisation
-    share = COHORTS // ROUTE_RANKS
-    cohort = priority_of(0, request_id) % share
     return (
         min(rank + 1, LOWEST_IMPORTANCE) * COHORTS
-        + min(route.priority, ROUTE_RANKS - 1) * share
-        + cohort
+        + min(route.priority, ROUTE_RANKS - 1) * KIND_COHORTS
+        + cohort_of(request_id)
     )
 
 
+def cohort_of(request_id: str) -> int:
+    """Return the cohort of a request among those of equal ranks."""
+    return priority_of(0, request_id) % KIND_COHORTS
+
+
 class _AttemptHistory:
     """The attempts of one request so far; ``reply`` is the latest reply that counts."""
 
@@ -214,7 +227,9 @@
     ``local_load`` returns the load of the target on this host, or None if it accepts no
     work of the service. ``send`` sends a run to a peer, or to this host if the peer is
     None. ``retryable`` tells whether a 5xx answer on a route may be retried, ``budget``
-    returns the retry budget of a service.
+    returns the retry budget of a service. ``on_call`` is called for each attempt of a call
+    that a target got, with the service, whether it is a retry, and whether another one is
+    needed.
     """
 
     def __init__(
@@ -227,6 +242,7 @@
         retryable: Callable[[Route], bool],
         budget: Callable[[str], RetryBudget],
         root_request_id: Callable[[str], str],
+        on_call: Callable[[str, bool, bool], None],
     ) -> None:
         self._clock = clock
         self._directory = directory
@@ -236,6 +252,7 @@
         self._retryable = retryable
         self._budget = budget
         self._root_request_id = root_request_id
+        self._on_call = on_call
         self._local_peer = Peer(directory.own, clock.now())
 
     async def run(self, req: AdmittedRequest, nodes: list[str]) -> Reply:
@@ -255,8 +272,12 @@
                 break
             address = peer.member.address
             nodes.append(address)
-            history.record(address, await self._attempt(peer, req, bool(history.targets)))
-            if not self._should_retry(req, history):
+            is_retry = bool(history.targets)
+            history.record(address, await self._attempt(peer, req, is_retry))
+            should_retry = self._should_retry(req, history)
+            if history.reply.handed and is_call(req.priority):
+                self._on_call(req.service, is_retry, should_retry)
+            if not should_retry:
                 break
             if history.reply.handed and not budget.spend(self._retry_order(req)):
                 break
@@ -274,9 +295,10 @@
         return other or choose(candidates, route.name, limit_s, refused)
 
     def _retry_order(self, req: AdmittedRequest) -> int:
+        # The priority of a call is that of its run divided by ``step``. With the cohort's
+        # remainder as spread, calls are retried in the order in which entries admit.
         step = ORDER_COUNT // ADMIT_ALL_LEVEL
-        spread = xxhash.xxh32_intdigest(self._root_request_id(req.request_id).encode()) % step
-        return req.priority * step + spread
+        return req.priority * step + cohort_of(self._root_request_id(req.request_id)) % step
 
     def _candidates(self, service: str) -> Sequence[Peer]:
         peers = self._directory.serving(service)
--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -7,10 +7,11 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from .frames import RetryDemand
 from .http import HttpRequest, HttpResponse, HttpService
 from .quota import RateState
 
-__all__ = ["MeshMetrics", "StoreState", "TargetState"]
+__all__ = ["CompletionState", "MeshMetrics", "StoreState", "TargetState"]
 
 MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
@@ -50,11 +51,23 @@
     evacuated: list[str]
 
 
+class CompletionState(NamedTuple):
+    """Calls to services of which targets refuse or fail a share.
+
+    ``admitted`` is the share admitted of the requests that reach a service through calls,
+    where it is below 1, and ``retries`` the retries needed and allowed, where they are short.
+    """
+
+    admitted: Mapping[str, float]
+    retries: Mapping[str, RetryDemand]
+
+
 class MeshMetrics(HttpService):
     """The metrics of a node, in the Prometheus text format.
 
     ``rates`` returns the states of the organisations' rates, ``target`` that of the
-    target on this host, and ``store`` how the node stands to the store.
+    target on this host, ``store`` how the node stands to the store, and ``completion`` the
+    state of calls to services that fail.
     """
 
     def __init__(
@@ -62,11 +75,13 @@
         rates: Callable[[], list[RateState]] = list,
         target: Callable[[], TargetState] = lambda: TargetState({}, None, 0),
         store: Callable[[], StoreState] = lambda: StoreState(False, False, 0, []),
+        completion: Callable[[], CompletionState] = lambda: CompletionState({}, {}),
     ) -> None:
         self.requests: Counter[str] = Counter()
         self._rates = rates
         self._target = target
         self._store = store
+        self._completion = completion
         self._buckets: Counter[int] = Counter()
         self._longest_hold_s = 0.0
         self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
@@ -98,6 +113,7 @@
         lines.append(f"beryldrum_loop_hold_seconds {self._longest_hold_s:g}")
         self._longest_hold_s = 0.0
         lines += self._target_lines() + self._rate_lines() + self._store_lines()
+        lines += self._completion_lines()
         return "\n".join(lines) + "\n"
 
     def _target_lines(self) -> list[str]:
@@ -136,6 +152,23 @@
                 lines.append(f"beryldrum_rate_{name}{{organisation={organisation}}} {value}")
         return lines
 
+    def _completion_lines(self) -> list[str]:
+        admitted, retries = self._completion()
+        needed = {service: demand.needed_per_s for service, demand in retries.items()}
+        allowed = {service: demand.allowed_per_s for service, demand in retries.items()}
+        lines = []
+        for name, values in (
+            ("trees_admitted", admitted),
+            ("retries_needed_per_s", needed),
+            ("retries_allowed_per_s", allowed),
+        ):
+            lines.append(f"# TYPE beryldrum_{name} gauge")
+            lines += [
+                f"beryldrum_{name}{{service={msgspec.json.encode(service).decode()}}} {value:g}"
+                for service, value in values.items()
+            ]
+        return lines
+
     async def handle(self, http_request: HttpRequest) -> HttpResponse:
         return HttpResponse(
             200, b"Content-Type: text/plain; version=0.0.4\r\n", self.text().encode()
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -16,6 +16,7 @@
 from ..errors import PeerLostError, SettingsError
 from .admission import AdmissionController
 from .capacity import ServiceCapacity
+from .completion import CallCompletion
 from .configuration import ConfigurationState
 from .conventions import Deregistration, TargetMessage, WireAdapter
 from .deadlines import Deadlines
@@ -61,7 +62,7 @@
 from .load_balancer import LoadBalancer
 from .local_target import LocalTarget
 from .membership import Membership
-from .metrics import MeshMetrics, TargetState
+from .metrics import CompletionState, MeshMetrics, TargetState
 from .propagation import Propagation
 from .quota import Quotas, Tolerance
 from .settings import MeshSettings
@@ -221,7 +222,10 @@
             self.clock, store, address, self.explainer, self.target.announcements.departures
         )
         self.metrics = MeshMetrics(
-            self.quotas.states, self._target_state, lambda: self.follower.state()
+            self.quotas.states,
+            self._target_state,
+            lambda: self.follower.state(),
+            lambda: self._completion_state(),
         )
         self.stopping = False
         self._replaced_target: Announcement | None = None
@@ -245,6 +249,9 @@
         self.capacity = ServiceCapacity(
             self.clock, self.directory, self.graph, self.target.load, lambda: self.cfg
         )
+        self.completion = CallCompletion(
+            self.clock, self.capacity.budget, self.directory.retry_demands
+        )
         self.entry = self._make_entry()
         self.configuration.on_change.append(self._on_configuration)
         self.follower = Follower(
@@ -292,6 +299,7 @@
             self.evacuations,
             self.era,
             self.follower.readers.has_reader,
+            self.completion.demands,
         )
         self.propagation = Propagation(
             self.directory,
@@ -305,7 +313,9 @@
         )
 
     def _make_entry(self) -> Entry:
-        self.admission = AdmissionController(self.clock, self._rng, self.capacity.utilisation)
+        self.admission = AdmissionController(
+            self.clock, self._rng, self.capacity.utilisation, self.completion.ratio
+        )
         checks = [
             KeyCheck(self.configuration, self._max_confirmation_age_s),
             AdmissionCheck(self.admission, self.graph, self._retry_after_ms),
@@ -319,6 +329,7 @@
             self.capacity.may_retry,
             self.capacity.budget,
             self._adapter.root_request_id,
+            self.completion.record,
         )
         return Entry(
             self.clock,
@@ -337,6 +348,9 @@
     def _target_state(self) -> TargetState:
         return TargetState(self.target.handed, self.target.rate_limit, self.target.notices_ignored)
 
+    def _completion_state(self) -> CompletionState:
+        return CompletionState(self.admission.admitted_trees(), self.completion.totals())
+
     # Decisions that combine several components.
 
     def _caller_service(self) -> str:
@@ -484,6 +498,7 @@
                 self.evacuations.entries(),
                 self.follower.readers.rejected,
                 store_era=self.era.number,
+                retry_demands=self.completion.demands(),
             )
             self._brief_frame = encode(state)
             state.uses = self.quotas.all_usages() if large else self.quotas.recent_usages()
@@ -699,7 +714,7 @@
             if self.target.tick():
                 self.explainer.event("target silent")
                 self._broadcast_state()
-            elif self.target.load().full > 1.0:
+            elif self.target.load().full > 1.0 or self.completion.demands():
                 # Other nodes need to know of the overload soon to admit less.
                 self._broadcast_state()
             for peer in self.directory.expire_peers():
@@ -717,10 +732,14 @@
     def _log_load(self) -> None:
         """Log the gate's load and the admitted shares while there is an overload."""
         load, now = self.target.load(), self.clock.now()
-        parts = self.admission.admitted_shares()
-        if now - self._load_logged_at < LOAD_LOG_S or (load.full < 1.0 and not parts):
+        parts, trees = self.admission.admitted_shares(), self.admission.admitted_trees()
+        short = load.full >= 1.0 or parts or trees
+        if now - self._load_logged_at < LOAD_LOG_S or not short:
             return
         self._load_logged_at = now
+        if trees:
+            retries = {name: str(demand) for name, demand in self.completion.totals().items()}
+            self.explainer.event("short of retries", admitted_trees=trees, retries=retries)
         fields = {
             name: round(value, 3) if isinstance(value, float) else value
             for name, value in msgspec.structs.asdict(load).items()
--- a/beryldrum/mesh/summaries.py
+++ b/beryldrum/mesh/summaries.py
@@ -9,17 +9,18 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import xxhash
 
 from ..clock import Clock
 from ..errors import PeerLostError
+from .completion import total_demands
 from .configuration import ConfigurationState
 from .directory import Directory, Peer
 from .evacuation import Evacuations
 from .explain import Explainer
-from .frames import NodeLoad, Summary, SummaryRequest, encode
+from .frames import NodeLoad, RetryDemand, Summary, SummaryRequest, encode
 from .graph import CallGraph
 from .quota import Quotas
 from .store_era import StoreEra
@@ -53,7 +54,8 @@
     returns its reply, ``relay`` sends a frame to all nodes of the own data centre,
     ``on_newer_config`` is called with the address of a node whose configuration is
     newer, and ``on_new_nodes`` with nodes that were not known. ``has_reader`` tells whether
-    the store serves the reader of the own data centre.
+    the store serves the reader of the own data centre, and ``own_retry_demands`` returns the
+    retries that this node's calls need, where they are short.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         evacuations: Evacuations | None = None,
         era: StoreEra | None = None,
         has_reader: Callable[[], bool] = lambda: True,
+        own_retry_demands: Callable[[], Mapping[str, RetryDemand]] = dict,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -89,6 +92,7 @@
         self._evacuations = evacuations if evacuations is not None else Evacuations()
         self._era = era if era is not None else StoreEra(clock)
         self._has_reader = has_reader
+        self._own_retry_demands = own_retry_demands
         self._requests: dict[str, asyncio.Task[None]] = {}
         self._sources: dict[str, str] = {}
         """The node of each data centre that sent the last summary."""
@@ -125,6 +129,9 @@
             self._evacuations.entries(),
             self._has_reader(),
             store_era=self._era.number,
+            retry_demands=total_demands(
+                [self._own_retry_demands(), *directory.local_retry_demands()]
+            ),
         )
 
     def expire_cache(self) -> None:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -37,6 +37,7 @@
 GATE = "tests/test_gate.py::"
 REQUESTS = "tests/test_mesh_requests.py::RequestsTest::"
 MESH = "tests/test_mesh_overload.py::"
+COMPLETION = "tests/test_mesh_completion.py::"
 SCALE = "tests/test_mesh_scale.py::"
 QUOTA = "tests/test_mesh_quota.py::QuotaTest"
 SURGE = "tests/test_mesh_surge.py::SurgeTest::test_surge_2_a_large_organisation"
@@ -784,6 +785,34 @@
         "                pass\n",
         "tests/test_mesh_evacuation.py::RealNodesTest",
     ),
+    Mutant(
+        "mesh: requests whose calls cannot be retried are refused at the entry",
+        "mesh/admission.py",
+        "COMPLETION_SETPOINT / max(0.01, self._retries_needed(service))",
+        "COMPLETION_SETPOINT / 0.01",
+        COMPLETION + "CompletionReplayTest::test_fault_of_all_targets_1_six_calls",
+    ),
+    Mutant(
+        "mesh: admission rises soon after failures have ended",
+        "mesh/admission.py",
+        "MAX_COMPLETION_CORRECTION = 10.0",
+        "MAX_COMPLETION_CORRECTION = 1.25",
+        COMPLETION + "CompletionReplayTest",
+    ),
+    Mutant(
+        "mesh: few failures do not reduce admission",
+        "mesh/completion.py",
+        "MIN_RETRIES_PER_S = 10.0",
+        "MIN_RETRIES_PER_S = 0.1",
+        COMPLETION + "DemandTest::test_chance_failures_at_one_node_do_not_reduce_admission",
+    ),
+    Mutant(
+        "mesh: calls are retried in the order in which requests are admitted",
+        "mesh/entry.py",
+        "cohort_of(self._root_request_id(req.request_id)) % step",
+        "cohort_of(req.request_id) % step",
+        COMPLETION + "AttemptsTest",
+    ),
 )
 
 
