Mesh: refused callers are told when to return, and are preferred when they do

Callers repeat a refused request once, after Retry-After or a third of the time they have left. With 150 to 350 ms times the rank, most were refused again in the same overload.

Where the latency objective and the time left leave a second of room, a deep overload now states a delay near the end of that room, at a time for which the entry expects few others. Callers with less time left than the route's longest are taken for returning ones, as many as were refused, and get a cohort in the better half of their kind.

--- a/beryldrum/mesh/admission.py
+++ b/beryldrum/mesh/admission.py
@@ -188,6 +188,12 @@
             arrivals.set_share(max(MIN_KIND_SHARE, arrivals.admitted_share() * correction))
             arrivals.decay()
 
+    def least_admitted(self, services: Iterable[str], called: Collection[str] = ()) -> float:
+        """Return the least share admitted recently by any service that a request reaches."""
+        reached = [self._services.get(name) for name in services]
+        reached += [self._trees.get(name) for name in called]
+        return min((a.admitted_share() for a in reached if a is not None), default=1.0)
+
     def admitted_trees(self) -> dict[str, float]:
         """Return the share admitted recently of requests with calls, where less than 1."""
         return _shares(self._trees)
--- a/beryldrum/mesh/capacity.py
+++ b/beryldrum/mesh/capacity.py
@@ -59,6 +59,16 @@
         spare = all(used is not None and used < 1.0 for used in loads)
         return spare and self._graph.is_leaf(route)
 
+    def run_s(self, route: Route) -> float:
+        """Return the mean time in seconds of the runs of a route's services, 0 if not known."""
+        times = [
+            peer.load.run_ms / 1000
+            for part in route.service_weights
+            for peer in self._directory.serving(part.service)
+            if peer.load.run_ms
+        ]
+        return sum(times) / len(times) if times else 0.0
+
     def budget(self, service: str) -> RetryBudget:
         """Return this node's part in the retry budget of a service."""
         # The ratio needs no division by nodes, since it applies to this node's requests.
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -31,6 +31,7 @@
 from .homes import RateHomes
 from .http import SINGLETON_HEADERS, HttpRequest, HttpResponse, HttpService
 from .load_balancer import LoadBalancer
+from .returns import Returns, Shortage
 from .split import Splitter
 
 __all__ = ["AdmissionCheck", "AttemptRunner", "Check", "Entry", "KeyCheck", "PendingRequest"]
@@ -128,26 +129,40 @@
 class AdmissionCheck(Check):
     """Refuses requests for which a service in their call graph lacks capacity.
 
-    A request is refused as a whole, before its first hop. ``retry_after_ms`` returns the
-    Retry-After for a priority.
+    A request is refused as a whole, before its first hop. Callers that return after a
+    refusal are preferred to others of the same ranks. ``run_s`` returns the time that a run
+    of a route takes.
     """
 
     def __init__(
-        self, admission: AdmissionController, graph: CallGraph, retry_after_ms: Callable[[int], int]
+        self,
+        admission: AdmissionController,
+        graph: CallGraph,
+        returns: Returns,
+        run_s: Callable[[Route], float],
     ) -> None:
         self._admission = admission
         self._graph = graph
-        self._retry_after_ms = retry_after_ms
+        self._returns = returns
+        self._run_s = run_s
 
     def check(self, pending: PendingRequest, doc: FleetDocument) -> PendingRequest | Refusal:
         if pending.priority < COHORTS:
             return pending
-        services = self._services(pending.route)
-        if self._admission.admits(pending.priority, services, self._called(pending.route)):
+        route, left_ms = pending.route, pending.metadata.left_ms
+        if self._returns.is_returning(route, left_ms):
+            pending = pending._replace(priority=preferred(pending.priority))
+        services, called = self._services(route), self._called(route)
+        if self._admission.admits(pending.priority, services, called):
             return pending
         if all(self._admission.has_target(name) for name in services):
-            return Refusal(request.SHED, self._retry_after_ms(pending.priority))
-        return Refusal(request.NO_TARGET, NO_TARGET_RETRY_AFTER_MS + self._retry_after_ms(0))
+            shortage = Shortage(
+                self._admission.least_admitted(services, called), self._run_s(route)
+            )
+            delay_ms = self._returns.delay_ms(route, pending.priority, left_ms, shortage)
+            return Refusal(request.SHED, delay_ms)
+        delay_ms = NO_TARGET_RETRY_AFTER_MS + self._returns.default_delay_ms(0)
+        return Refusal(request.NO_TARGET, delay_ms)
 
     def _services(self, route: Route) -> Iterable[str]:
         reached = self._graph.reachable_services(route)
@@ -184,6 +199,16 @@
     return priority_of(0, request_id) % KIND_COHORTS
 
 
+def preferred(priority: int) -> int:
+    """Return a priority in the better half of the cohorts of its kind.
+
+    It keeps the part of the cohort by which calls are ordered, see ``_retry_order``.
+    """
+    cohort = priority % KIND_COHORTS
+    step = ORDER_COUNT // ADMIT_ALL_LEVEL
+    return priority - cohort + cohort // step // 2 * step + cohort % step
+
+
 class _AttemptHistory:
     """The attempts of one request so far; ``reply`` is the latest reply that counts."""
 
--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -11,7 +11,7 @@
 from .http import HttpRequest, HttpResponse, HttpService
 from .quota import RateState
 
-__all__ = ["CompletionState", "MeshMetrics", "StoreState", "TargetState"]
+__all__ = ["MeshMetrics", "OverloadState", "StoreState", "TargetState"]
 
 MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
@@ -51,23 +51,27 @@
     evacuated: list[str]
 
 
-class CompletionState(NamedTuple):
-    """Calls to services of which targets refuse or fail a share.
+class OverloadState(NamedTuple):
+    """What the entry refuses.
 
     ``admitted`` is the share admitted of the requests that reach a service through calls,
     where it is below 1, and ``retries`` the retries needed and allowed, where they are short.
+    ``returns_promised`` and ``returns_seen`` count, since the start, the refused callers to
+    which a delay was stated, and the requests recognised as those of returning callers.
     """
 
     admitted: Mapping[str, float]
     retries: Mapping[str, RetryDemand]
+    returns_promised: int
+    returns_seen: int
 
 
 class MeshMetrics(HttpService):
     """The metrics of a node, in the Prometheus text format.
 
     ``rates`` returns the states of the organisations' rates, ``target`` that of the
-    target on this host, ``store`` how the node stands to the store, and ``completion`` the
-    state of calls to services that fail.
+    target on this host, ``store`` how the node stands to the store, and ``overload`` what
+    the entry refuses.
     """
 
     def __init__(
@@ -75,13 +79,13 @@
         rates: Callable[[], list[RateState]] = list,
         target: Callable[[], TargetState] = lambda: TargetState({}, None, 0),
         store: Callable[[], StoreState] = lambda: StoreState(False, False, 0, []),
-        completion: Callable[[], CompletionState] = lambda: CompletionState({}, {}),
+        overload: Callable[[], OverloadState] = lambda: OverloadState({}, {}, 0, 0),
     ) -> None:
         self.requests: Counter[str] = Counter()
         self._rates = rates
         self._target = target
         self._store = store
-        self._completion = completion
+        self._overload = overload
         self._buckets: Counter[int] = Counter()
         self._longest_hold_s = 0.0
         self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
@@ -113,7 +117,7 @@
         lines.append(f"beryldrum_loop_hold_seconds {self._longest_hold_s:g}")
         self._longest_hold_s = 0.0
         lines += self._target_lines() + self._rate_lines() + self._store_lines()
-        lines += self._completion_lines()
+        lines += self._overload_lines()
         return "\n".join(lines) + "\n"
 
     def _target_lines(self) -> list[str]:
@@ -152,11 +156,16 @@
                 lines.append(f"beryldrum_rate_{name}{{organisation={organisation}}} {value}")
         return lines
 
-    def _completion_lines(self) -> list[str]:
-        admitted, retries = self._completion()
+    def _overload_lines(self) -> list[str]:
+        admitted, retries, promised, seen = self._overload()
         needed = {service: demand.needed_per_s for service, demand in retries.items()}
         allowed = {service: demand.allowed_per_s for service, demand in retries.items()}
-        lines = []
+        lines = [
+            "# TYPE beryldrum_returns_promised_total counter",
+            f"beryldrum_returns_promised_total {promised}",
+            "# TYPE beryldrum_returns_seen_total counter",
+            f"beryldrum_returns_seen_total {seen}",
+        ]
         for name, values in (
             ("trees_admitted", admitted),
             ("retries_needed_per_s", needed),
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -62,9 +62,10 @@
 from .load_balancer import LoadBalancer
 from .local_target import LocalTarget
 from .membership import Membership
-from .metrics import CompletionState, MeshMetrics, TargetState
+from .metrics import MeshMetrics, OverloadState, TargetState
 from .propagation import Propagation
 from .quota import Quotas, Tolerance
+from .returns import Returns
 from .settings import MeshSettings
 from .store import Store
 from .store_era import StoreEra
@@ -225,7 +226,7 @@
             self.quotas.states,
             self._target_state,
             lambda: self.follower.state(),
-            lambda: self._completion_state(),
+            lambda: self._overload_state(),
         )
         self.stopping = False
         self._replaced_target: Announcement | None = None
@@ -252,6 +253,7 @@
         self.completion = CallCompletion(
             self.clock, self.capacity.budget, self.directory.retry_demands
         )
+        self.returns = Returns(self.clock, self._rng)
         self.entry = self._make_entry()
         self.configuration.on_change.append(self._on_configuration)
         self.follower = Follower(
@@ -318,7 +320,7 @@
         )
         checks = [
             KeyCheck(self.configuration, self._max_confirmation_age_s),
-            AdmissionCheck(self.admission, self.graph, self._retry_after_ms),
+            AdmissionCheck(self.admission, self.graph, self.returns, self.capacity.run_s),
         ]
         attempts = AttemptRunner(
             self.clock,
@@ -348,8 +350,13 @@
     def _target_state(self) -> TargetState:
         return TargetState(self.target.handed, self.target.rate_limit, self.target.notices_ignored)
 
-    def _completion_state(self) -> CompletionState:
-        return CompletionState(self.admission.admitted_trees(), self.completion.totals())
+    def _overload_state(self) -> OverloadState:
+        return OverloadState(
+            self.admission.admitted_trees(),
+            self.completion.totals(),
+            self.returns.promised,
+            self.returns.seen,
+        )
 
     # Decisions that combine several components.
 
@@ -377,11 +384,6 @@
         self.graph.record_call(route.name, run.route if run else "")
         return (call_priority(run.priority), run.is_retry) if run else (CALL_PRIORITY, False)
 
-    def _retry_after_ms(self, priority: int) -> int:
-        # Less important requests are delayed longer; the delay is random to spread retries.
-        rank = priority // request.COHORTS
-        return int(self._rng.uniform(150, 350) * max(1, rank))
-
     # Requests, run here or on another node.
 
     def _send(self, peer: Peer | None, run: Run, left_s: float) -> "asyncio.Future[Reply]":
@@ -744,7 +746,8 @@
             name: round(value, 3) if isinstance(value, float) else value
             for name, value in msgspec.structs.asdict(load).items()
         }
-        self.explainer.event("short of room", admitted=parts, **fields)
+        returns = {"promised": self.returns.promised, "seen": self.returns.seen}
+        self.explainer.event("short of room", admitted=parts, returns=returns, **fields)
 
     def ready(self) -> bool:
         """Tell whether callers should send new requests to this node."""
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -37,6 +37,7 @@
 GATE = "tests/test_gate.py::"
 REQUESTS = "tests/test_mesh_requests.py::RequestsTest::"
 MESH = "tests/test_mesh_overload.py::"
+RETURNS = "tests/test_mesh_returns.py::"
 COMPLETION = "tests/test_mesh_completion.py::"
 SCALE = "tests/test_mesh_scale.py::"
 QUOTA = "tests/test_mesh_quota.py::QuotaTest"
@@ -813,6 +814,34 @@
         "cohort_of(req.request_id) % step",
         COMPLETION + "AttemptsTest",
     ),
+    Mutant(
+        "mesh: callers refused in a deep overload return later",
+        "mesh/returns.py",
+        "        if room_ms < MIN_ROOM_MS:\n",
+        "        if True:\n",
+        RETURNS + "ReturnsTest",
+    ),
+    Mutant(
+        "mesh: refused callers are told different times",
+        "mesh/returns.py",
+        "self._expect(int((now_ms + delay_ms) / SLOT_MS))",
+        "pass",
+        RETURNS + "ReturnsTest::test_callers_are_spread_to_times_at_which_few_return",
+    ),
+    Mutant(
+        "mesh: callers that state little time gain only where others were refused",
+        "mesh/returns.py",
+        " or not callers.take_refusal(now)",
+        "",
+        RETURNS + "ReturnsTest",
+    ),
+    Mutant(
+        "mesh: returning callers stay within their kind",
+        "mesh/entry.py",
+        "return priority - cohort + cohort // step // 2 * step + cohort % step",
+        "return max(COHORTS, priority - KIND_COHORTS)",
+        RETURNS + "ReturnsTest::test_preferred_to_no_more_important_request",
+    ),
 )
 
 
