Mesh: priorities and the report of overload have modules of their own

Priorities, cohorts and the order of retries move to priorities.py, the log lines and metrics of an overload to overload_report.py. No change of behaviour.

--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -16,9 +16,9 @@
 from .. import request
 from ..clock import Clock
 from ..errors import PeerLostError
-from ..request import ADMIT_ALL_LEVEL, COHORTS, LOWEST_IMPORTANCE, Outcome, Reason, priority_of
+from ..request import ADMIT_ALL_LEVEL, COHORTS, Outcome, Reason
 from .admission import AdmissionController
-from .budget import ORDER_COUNT, RetryBudget
+from .budget import RetryBudget
 from .configuration import ConfigurationState
 from .conventions import RequestMetadata, WireAdapter
 from .directory import Directory, Peer
@@ -31,6 +31,7 @@
 from .homes import RateHomes
 from .http import SINGLETON_HEADERS, HttpRequest, HttpResponse, HttpService
 from .load_balancer import LoadBalancer
+from .priorities import preferred, priority_at, retry_order
 from .returns import Returns, Shortage
 from .split import Splitter
 
@@ -43,12 +44,6 @@
 MAX_ATTEMPTS = 8
 """Attempts for one request; most end in a refusal at a gate, which costs targets nothing."""
 
-ROUTE_RANKS = 4
-"""Number of route ranks distinguished within one organisation rank."""
-
-KIND_COHORTS = COHORTS // ROUTE_RANKS
-"""Number of cohorts of the requests of equal ranks."""
-
 MIN_ATTEMPT_MS = 15
 """Remaining time below which an attempt is not made: it could not reach a target and
 return."""
@@ -180,35 +175,6 @@
         return self._graph.reachable_services(route) - own
 
 
-def priority_at(organisation: int | None, route: Route, request_id: str) -> int:
-    """Return the priority of an external request; lower values are shed last.
-
-    Calls made by targets have the lowest values. External requests are ordered by the
-    rank of their organisation, then of their route, then by a hash of the request id.
-    """
-    rank = route.priority if organisation is None else organisation
-    return (
-        min(rank + 1, LOWEST_IMPORTANCE) * COHORTS
-        + min(route.priority, ROUTE_RANKS - 1) * KIND_COHORTS
-        + cohort_of(request_id)
-    )
-
-
-def cohort_of(request_id: str) -> int:
-    """Return the cohort of a request among those of equal ranks."""
-    return priority_of(0, request_id) % KIND_COHORTS
-
-
-def preferred(priority: int) -> int:
-    """Return a priority in the better half of the cohorts of its kind.
-
-    It keeps the part of the cohort by which calls are ordered, see ``_retry_order``.
-    """
-    cohort = priority % KIND_COHORTS
-    step = ORDER_COUNT // ADMIT_ALL_LEVEL
-    return priority - cohort + cohort // step // 2 * step + cohort % step
-
-
 class _AttemptHistory:
     """The attempts of one request so far; ``reply`` is the latest reply that counts."""
 
@@ -304,7 +270,8 @@
                 self._on_call(req.service, is_retry, should_retry)
             if not should_retry:
                 break
-            if history.reply.handed and not budget.spend(self._retry_order(req)):
+            root_id = self._root_request_id(req.request_id)
+            if history.reply.handed and not budget.spend(retry_order(req.priority, root_id)):
                 break
         return history.result()
 
@@ -319,12 +286,6 @@
         other = choose(candidates, route.name, limit_s, refused | targets) if targets else None
         return other or choose(candidates, route.name, limit_s, refused)
 
-    def _retry_order(self, req: AdmittedRequest) -> int:
-        # The priority of a call is that of its run divided by ``step``. With the cohort's
-        # remainder as spread, calls are retried in the order in which entries admit.
-        step = ORDER_COUNT // ADMIT_ALL_LEVEL
-        return req.priority * step + cohort_of(self._root_request_id(req.request_id)) % step
-
     def _candidates(self, service: str) -> Sequence[Peer]:
         peers = self._directory.serving(service)
         load = self._local_load(service)
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -9,8 +9,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import msgspec
-
 from .. import request
 from ..clock import Clock, SystemClock
 from ..errors import PeerLostError, SettingsError
@@ -62,7 +60,8 @@
 from .load_balancer import LoadBalancer
 from .local_target import LocalTarget
 from .membership import Membership
-from .metrics import MeshMetrics, OverloadState, TargetState
+from .metrics import MeshMetrics, TargetState
+from .overload_report import OverloadReport
 from .propagation import Propagation
 from .quota import Quotas, Tolerance
 from .returns import Returns
@@ -134,9 +133,6 @@
 LONG_HOLD_S = 0.5
 """Time for which something may hold the event loop before it is logged."""
 
-LOAD_LOG_S = 1.0
-"""Shortest interval between log lines about overload."""
-
 REQUEST_MEMORY_SHARE = 0.25
 """Share of the memory limit that request bodies may use at any time."""
 
@@ -226,7 +222,7 @@
             self.quotas.states,
             self._target_state,
             lambda: self.follower.state(),
-            lambda: self._overload_state(),
+            lambda: self.overload_report.state(),
         )
         self.stopping = False
         self._replaced_target: Announcement | None = None
@@ -240,7 +236,6 @@
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._run_tasks: dict[tuple[LinkProtocol, int], asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[Any]] = []
-        self._load_logged_at = 0.0
         self._request_memory = MemoryBudget(int(cfg.memory_mb * 2**20 * REQUEST_MEMORY_SHARE))
         self._max_confirmation_age_s = cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S
         self._incoming_links: set[LinkProtocol] = set()
@@ -255,6 +250,14 @@
         )
         self.returns = Returns(self.clock, self._rng)
         self.entry = self._make_entry()
+        self.overload_report = OverloadReport(
+            self.clock,
+            self.explainer,
+            self.target.load,
+            self.admission,
+            self.completion,
+            self.returns,
+        )
         self.configuration.on_change.append(self._on_configuration)
         self.follower = Follower(
             self.clock,
@@ -350,14 +353,6 @@
     def _target_state(self) -> TargetState:
         return TargetState(self.target.handed, self.target.rate_limit, self.target.notices_ignored)
 
-    def _overload_state(self) -> OverloadState:
-        return OverloadState(
-            self.admission.admitted_trees(),
-            self.completion.totals(),
-            self.returns.promised,
-            self.returns.seen,
-        )
-
     # Decisions that combine several components.
 
     def _caller_service(self) -> str:
@@ -723,7 +718,7 @@
                 self.explainer.event("peer expired", peer=peer.member.address)
             for listener in self._listeners:
                 listener.sweep()
-            self._log_load()
+            self.overload_report.log()
 
     def _record_hold(self, seconds: float) -> None:
         """Record by how much a timer was late, which shows what held the event loop."""
@@ -731,24 +726,6 @@
         if seconds > LONG_HOLD_S:
             self.explainer.event("event loop held", seconds=round(seconds, 2))
 
-    def _log_load(self) -> None:
-        """Log the gate's load and the admitted shares while there is an overload."""
-        load, now = self.target.load(), self.clock.now()
-        parts, trees = self.admission.admitted_shares(), self.admission.admitted_trees()
-        short = load.full >= 1.0 or parts or trees
-        if now - self._load_logged_at < LOAD_LOG_S or not short:
-            return
-        self._load_logged_at = now
-        if trees:
-            retries = {name: str(demand) for name, demand in self.completion.totals().items()}
-            self.explainer.event("short of retries", admitted_trees=trees, retries=retries)
-        fields = {
-            name: round(value, 3) if isinstance(value, float) else value
-            for name, value in msgspec.structs.asdict(load).items()
-        }
-        returns = {"promised": self.returns.promised, "seen": self.returns.seen}
-        self.explainer.event("short of room", admitted=parts, returns=returns, **fields)
-
     def ready(self) -> bool:
         """Tell whether callers should send new requests to this node."""
         if self.stopping or self.configuration.document is None:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -824,9 +824,9 @@
     ),
     Mutant(
         "mesh: calls are retried in the order in which requests are admitted",
-        "mesh/entry.py",
-        "cohort_of(self._root_request_id(req.request_id)) % step",
-        "cohort_of(req.request_id) % step",
+        "mesh/priorities.py",
+        "return priority * ORDER_STEP + cohort_of(root_request_id) % ORDER_STEP",
+        "return priority * ORDER_STEP",
         COMPLETION + "AttemptsTest",
     ),
     Mutant(
@@ -852,8 +852,8 @@
     ),
     Mutant(
         "mesh: returning callers stay within their kind",
-        "mesh/entry.py",
-        "return priority - cohort + cohort // step // 2 * step + cohort % step",
+        "mesh/priorities.py",
+        "return priority - cohort + cohort // ORDER_STEP // 2 * ORDER_STEP + cohort % ORDER_STEP",
         "return max(COHORTS, priority - KIND_COHORTS)",
         RETURNS + "ReturnsTest::test_preferred_to_no_more_important_request",
     ),
--- a/tests/test_mesh_completion.py
+++ b/tests/test_mesh_completion.py
@@ -19,19 +19,16 @@
 from beryldrum.mesh.conventions import RequestMetadata
 from beryldrum.mesh.directory import Directory, Peer
 from beryldrum.mesh.document import Route, WeightedService
-from beryldrum.mesh.entry import (
-    AdmissionCheck,
-    AttemptRunner,
-    PendingRequest,
-    cohort_of,
-    priority_at,
-)
+from beryldrum.mesh.entry import AdmissionCheck, AttemptRunner, PendingRequest
 from beryldrum.mesh.exchange import AdmittedRequest, answered, not_run
+from beryldrum.mesh.explain import Explainer
 from beryldrum.mesh.frames import Load, Member, RetryDemand, State, Summary, decode, encode
 from beryldrum.mesh.gate import call_priority
 from beryldrum.mesh.graph import CallGraph
 from beryldrum.mesh.load_balancer import COST_EXPONENT, FAILURE_FACTOR, LoadBalancer
 from beryldrum.mesh.metrics import MeshMetrics, OverloadState
+from beryldrum.mesh.overload_report import OverloadReport
+from beryldrum.mesh.priorities import cohort_of, priority_at, retry_order
 from beryldrum.mesh.returns import Returns
 
 SEEDS = (1, 2, 3)
@@ -138,7 +135,7 @@
             return
         self.admitted[kind] += 1
         node = self.rng.randrange(len(self.budgets))
-        order = call_priority(priority) * 4 + cohort_of(request_id) % 4
+        order = retry_order(call_priority(priority), request_id)
         self._call(kind, node, order, self.fault.calls)
 
     def _call(self, kind, node, order, left):
@@ -326,6 +323,27 @@
         self.assertIn("beryldrum_returns_promised_total 7\n", text)
         self.assertIn("beryldrum_returns_seen_total 5\n", text)
 
+    def test_log_lines(self):
+        demand = RetryDemand(4.0, 1.5)
+        admission = mock.create_autospec(AdmissionController, instance=True)
+        admission.admitted_shares.return_value = {}
+        admission.admitted_trees.return_value = {"narrow": 0.25}
+        completion = mock.create_autospec(CallCompletion, instance=True)
+        completion.totals.return_value = {"narrow": demand}
+        explainer = mock.create_autospec(Explainer, instance=True)
+        returns = Returns(self.clock, random.Random(1))
+        report = OverloadReport(self.clock, explainer, Load, admission, completion, returns)
+        for _ in range(16):
+            self.clock.advance(0.25)
+            report.log()
+        lines = [
+            call for call in explainer.event.call_args_list if call.args == ("short of retries",)
+        ]
+        self.assertEqual(4, len(lines))
+        self.assertEqual({"narrow": 0.25}, lines[0].kwargs["admitted_trees"])
+        retries = {"needed_per_s": 4.0, "allowed_per_s": 1.5}
+        self.assertEqual({"narrow": retries}, lines[0].kwargs["retries"])
+
 
 class AttemptsTest(TestCase):
     """What the attempts of a call tell of the retries that calls need."""
--- a/tests/test_mesh_returns.py
+++ b/tests/test_mesh_returns.py
@@ -14,9 +14,10 @@
 from beryldrum.mesh.admission import AdmissionController
 from beryldrum.mesh.conventions import RequestMetadata
 from beryldrum.mesh.document import Route, WeightedService
-from beryldrum.mesh.entry import AdmissionCheck, PendingRequest, Refusal, preferred, priority_at
+from beryldrum.mesh.entry import AdmissionCheck, PendingRequest, Refusal
 from beryldrum.mesh.gate import Admission, Gate, RunRequest
 from beryldrum.mesh.graph import CallGraph
+from beryldrum.mesh.priorities import preferred, priority_at
 from beryldrum.mesh.returns import Returns, Shortage
 
 REPORT_PERIOD_S = 0.3
