Mesh: requests stay in the regions that their route and organisation name

Cause: a route or an organisation may name regions (allowed_regions), and requests went to any data centre.

Change: the entry removes nodes outside the regions from the candidates of each attempt. A call has the regions of the organisation of its run, which the node of the calling target knows. Without a target in the regions the refusal is 503 no-region with Retry-After, before the first attempt.

--- a/beryldrum/mesh/document.py
+++ b/beryldrum/mesh/document.py
@@ -100,6 +100,10 @@
         self.organisations = organisations
         """Organisations by API key; one may have several keys."""
         self.requires_keys = requires_keys
+        self.regions_by_organisation = {
+            org.name: org.regions for org in organisations.values() if org.regions
+        }
+        """The regions of the organisations that name any, by name."""
         self.limits = limits
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -32,10 +32,19 @@
 from .http import SINGLETON_HEADERS, HttpRequest, HttpResponse, HttpService
 from .load_balancer import LoadBalancer
 from .priorities import preferred, priority_at, retry_order
+from .residency import ANY_REGION, Regions, Residency, allowed_regions
 from .returns import Returns, Shortage
 from .split import Splitter
 
-__all__ = ["AdmissionCheck", "AttemptRunner", "Check", "Entry", "KeyCheck", "PendingRequest"]
+__all__ = [
+    "AdmissionCheck",
+    "AttemptRunner",
+    "CallOrigin",
+    "Check",
+    "Entry",
+    "KeyCheck",
+    "PendingRequest",
+]
 
 NEGATIVE_LOOKUP_MAX_AGE_S = 2.0
 """Age of the last confirmation of the configuration up to which a key or route missing
@@ -74,6 +83,19 @@
     now: float
     is_retry: bool
     """Whether it is a call made by a run that is a retry."""
+    regions: Regions = ANY_REGION
+    """Set after the checks, which determine the organisation."""
+
+
+class CallOrigin(NamedTuple):
+    """The priority of a call that a target makes, and what it inherits from its run.
+
+    ``organisation`` is the name of the run's organisation, empty if it is not known.
+    """
+
+    priority: int
+    is_retry: bool
+    organisation: str = ""
 
 
 class Refusal(NamedTuple):
@@ -178,14 +200,14 @@
 class _AttemptHistory:
     """The attempts of one request so far; ``reply`` is the latest reply that counts."""
 
-    def __init__(self) -> None:
+    def __init__(self, no_target: Reply) -> None:
         self.refused: set[str] = set()
         """Addresses of the nodes that did not hand the request to their target."""
         self.targets: set[str] = set()
         """Addresses of the nodes that handed the request to their target."""
         self.failures = 0
         """Number of 5xx answers from targets."""
-        self.reply = not_run(request.NO_TARGET, SHORT_RETRY_AFTER_MS)
+        self.reply = no_target
         self._failure_reply: Reply | None = None
         self._maybe_ran = False
 
@@ -228,6 +250,7 @@
         clock: Clock,
         directory: Directory,
         load_balancer: LoadBalancer,
+        residency: Residency,
         local_load: Callable[[str], Load | None],
         send: Callable[[Peer | None, Run, float], "asyncio.Future[Reply]"],
         retryable: Callable[[Route], bool],
@@ -238,6 +261,7 @@
         self._clock = clock
         self._directory = directory
         self._load_balancer = load_balancer
+        self._residency = residency
         self._local_load = local_load
         self._send = send
         self._retryable = retryable
@@ -256,7 +280,10 @@
             budget.charge()
         else:
             budget.deposit()
-        history = _AttemptHistory()
+        if req.regions is None:
+            history = _AttemptHistory(not_run(request.NO_TARGET, SHORT_RETRY_AFTER_MS))
+        else:
+            history = _AttemptHistory(not_run(request.NO_REGION, NO_TARGET_RETRY_AFTER_MS))
         for _ in range(MAX_ATTEMPTS):
             peer = self._choose(req, history)
             if peer is None:
@@ -277,7 +304,7 @@
 
     def _choose(self, req: AdmittedRequest, history: "_AttemptHistory") -> Peer | None:
         route, refused, targets = req.route, history.refused, history.targets
-        candidates = self._candidates(req.service)
+        candidates = self._residency.permitted(self._candidates(req.service), req.regions)
         if len(targets) >= route.attempts:
             # The limit of distinct targets is reached; only these may be tried again.
             candidates = [p for p in candidates if p.member.address in targets]
@@ -336,8 +363,7 @@
 
     ``caller_service`` returns the service name reported to targets as the caller,
     ``on_outcome`` receives the outcome and duration in seconds of each request, and
-    ``call_priority`` returns the priority of a call on an open route and whether it is
-    made by a retried run.
+    ``call_origin`` returns what is known of the run that makes a call on an open route.
     """
 
     def __init__(
@@ -352,9 +378,9 @@
         explainer: Explainer,
         on_outcome: Callable[[str, float], None],
         rng: random.Random,
-        call_priority: Callable[[Route, str], tuple[int, bool]],
+        call_origin: Callable[[Route, str], CallOrigin],
     ) -> None:
-        self._call_priority = call_priority
+        self._call_origin = call_origin
         self._clock = clock
         self._adapter = adapter
         self._configuration = configuration
@@ -447,14 +473,14 @@
                 if stale
                 else Refusal(request.NO_ROUTE)
             )
-        is_retry = False
+        is_retry, organisation = False, ""
         run_s = min(route.latency_objective_s * STOP_RUN_OBJECTIVES, MAX_STOP_RUN_S)
         if (self.refuses_new and not route.open) or now + run_s > self.runs_end_at:
             return Refusal(request.STOPPING, SHORT_RETRY_AFTER_MS)
         # Requests on an open route need no key; they are calls made by targets, or
         # treated as such.
         if route.open:
-            priority, is_retry = self._call_priority(route, metadata.request_id)
+            priority, is_retry, organisation = self._call_origin(route, metadata.request_id)
         elif doc.requires_keys:
             # The key check sets the priority from the organisation.
             priority = ADMIT_ALL_LEVEL - 1
@@ -466,7 +492,10 @@
             if isinstance(checked, Refusal):
                 return checked._replace(pending=pending)
             pending = checked
-        return pending
+        org = pending.organisation
+        inherited = doc.regions_by_organisation.get(organisation, frozenset())
+        regions = allowed_regions(route.regions, org.regions if org else inherited)
+        return pending._replace(regions=regions)
 
     def _admitted_request(
         self, http_request: HttpRequest, pending: PendingRequest
@@ -489,6 +518,7 @@
             min(deadline, self.stop_at),
             metadata.request_id,
             pending.is_retry,
+            pending.regions,
         )
 
     def _finish(
--- a/beryldrum/mesh/exchange.py
+++ b/beryldrum/mesh/exchange.py
@@ -5,6 +5,7 @@
 from ..request import REASONS, Outcome, Reason
 from .document import Route
 from .frames import Reply, Run
+from .residency import ANY_REGION, Regions
 
 __all__ = ["AdmittedRequest", "answered", "not_run", "reason_of", "unknown"]
 
@@ -30,6 +31,7 @@
     request_id: str
     is_retry: bool
     """Whether it is a call made by a run that is a retry."""
+    regions: Regions = ANY_REGION
 
     def to_run(self, now: float, is_retry: bool) -> Run:
         """Return the message that asks a node to run it; ``is_retry`` marks a retry."""
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -21,7 +21,7 @@
 from .departures import DepartureRecorder
 from .directory import Directory, Peer
 from .document import FleetDocument, Route
-from .entry import AdmissionCheck, AttemptRunner, Entry, KeyCheck
+from .entry import AdmissionCheck, AttemptRunner, CallOrigin, Entry, KeyCheck
 from .evacuation import Evacuations
 from .exchange import unknown
 from .explain import Explainer
@@ -64,6 +64,7 @@
 from .overload_report import OverloadReport
 from .propagation import Propagation
 from .quota import Quotas, Tolerance
+from .residency import Residency
 from .returns import Returns
 from .settings import MeshSettings
 from .store import Store
@@ -329,6 +330,7 @@
             self.clock,
             self.directory,
             LoadBalancer(self.clock, self._rng, self.cfg.data_centre),
+            Residency(lambda: self.cfg.regions),
             self.target.load_for,
             self._send,
             self.capacity.may_retry,
@@ -370,14 +372,13 @@
             self._replaced_target = self.target.announcements.current
         self.cfg = cfg
 
-    def _record_call(self, route: Route, request_id: str) -> tuple[int, bool]:
-        """Record a call that the local target makes.
-
-        Returns the priority of the call, and whether the run that makes it is a retry.
-        """
+    def _record_call(self, route: Route, request_id: str) -> CallOrigin:
+        """Record a call that the local target makes, and return its origin."""
         run = self.target.running.get(self._adapter.parent_request_id(request_id))
         self.graph.record_call(route.name, run.route if run else "")
-        return (call_priority(run.priority), run.is_retry) if run else (CALL_PRIORITY, False)
+        if run is None:
+            return CallOrigin(CALL_PRIORITY, False)
+        return CallOrigin(call_priority(run.priority), run.is_retry, run.organisation)
 
     # Requests, run here or on another node.
 
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -48,6 +48,7 @@
 STOP = "tests/test_mesh_stop.py::"
 MEMORY = "tests/test_mesh_memory.py::"
 ODD_INPUT = "tests/test_mesh_odd_input.py::"
+RESIDENCY = "tests/test_mesh_residency.py::"
 DEPARTURES = "tests/test_mesh_departures.py::"
 MUTANTS = (
     Mutant(
@@ -857,6 +858,20 @@
         "return max(COHORTS, priority - KIND_COHORTS)",
         RETURNS + "ReturnsTest::test_preferred_to_no_more_important_request",
     ),
+    Mutant(
+        "mesh: a request stays in its regions",
+        "mesh/residency.py",
+        " if known.get(peer.member.data_centre) in regions]",
+        "]",
+        RESIDENCY + "FleetTest::test_a_retry_stays_in_the_region",
+    ),
+    Mutant(
+        "mesh: a call stays in the regions of its organisation",
+        "mesh/node.py",
+        "run.is_retry, run.organisation)",
+        "run.is_retry)",
+        RESIDENCY + "FleetTest::test_a_call_stays_in_the_regions_of_its_organisation",
+    ),
 )
 
 
