Mesh: a data centre keeps the requests that its targets can bear

Cause: once the local target drawn was used at 0.7, one of all targets was drawn, so about two thirds of the requests left a data centre at once.

Change: zone_share.py decides for each service which share stays, from the use, speed and failures here and elsewhere and the learnt price of a route's bytes, at a bounded rate and related to the share that old news is about. Beyond it a request leaves at once where the targets here are full or slow and one elsewhere is better. Metrics, a log line for a changed share, and the reason in the lines of requests.

--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -197,6 +197,13 @@
         return self._graph.reachable_services(route) - own
 
 
+class Hop(NamedTuple):
+    """A node that a request was sent to, and why it left its data centre, or empty."""
+
+    address: str
+    left: str
+
+
 class _AttemptHistory:
     """The attempts of one request so far; ``reply`` is the latest reply that counts."""
 
@@ -270,10 +277,10 @@
         self._on_call = on_call
         self._local_peer = Peer(directory.own, clock.now())
 
-    async def run(self, req: AdmittedRequest, nodes: list[str]) -> Reply:
+    async def run(self, req: AdmittedRequest, hops: list[Hop]) -> Reply:
         """Return the outcome of the request over all its attempts.
 
-        The address of each node that the request was sent to is appended to ``nodes``.
+        A hop for each node that the request was sent to is appended to ``hops``.
         """
         budget = self._budget(req.service)
         if req.is_retry:
@@ -289,7 +296,7 @@
             if peer is None:
                 break
             address = peer.member.address
-            nodes.append(address)
+            hops.append(Hop(address, self._load_balancer.left))
             is_retry = bool(history.targets)
             history.record(address, await self._attempt(peer, req, is_retry))
             should_retry = self._should_retry(req, history)
@@ -310,8 +317,12 @@
             candidates = [p for p in candidates if p.member.address in targets]
         limit_s = min(route.latency_objective_s, route.timeout_s)
         choose = self._load_balancer.choose
-        other = choose(candidates, route.name, limit_s, refused | targets) if targets else None
-        return other or choose(candidates, route.name, limit_s, refused)
+        if targets:
+            tried = refused | targets
+            other = choose(candidates, route.name, limit_s, tried, req.regions, False)
+            if other is not None:
+                return other
+        return choose(candidates, route.name, limit_s, refused, req.regions, not targets)
 
     def _candidates(self, service: str) -> Sequence[Peer]:
         peers = self._directory.serving(service)
@@ -351,7 +362,9 @@
             return unknown(request.TIMED_OUT)
         if reply.load is not None and target is not None:
             self._directory.update_load(peer, reply.load)
+        size = len(req.head) + len(req.body) + len(reply.head) + len(reply.body)
         if reply.handed:
+            self._load_balancer.record_bytes(req.route.name, size)
             ended = self._clock.now()
             good = reply.outcome == Outcome.ANSWERED and reply.status < 500
             peer.record_latency(req.route.name, ended - now, ended, good)
@@ -433,17 +446,17 @@
             self._log_refusal(metadata, admitted)
             return self._refuse(metadata.request_id, admitted.reason, admitted.retry_after_ms)
         req = self._admitted_request(http_request, admitted)
-        nodes: list[str] = []
+        hops: list[Hop] = []
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
         try:
             refused = await self._check_rate(admitted)
-            reply = await self._attempts.run(req, nodes) if refused is None else refused
+            reply = await self._attempts.run(req, hops) if refused is None else refused
         except asyncio.CancelledError:
             if self._ending:
-                return self._finish(metadata, req, unknown(request.CANCELLED), now, nodes)
-            self._log_outcome(metadata, req, now, "caller-left", 0, nodes)
+                return self._finish(metadata, req, unknown(request.CANCELLED), now, hops)
+            self._log_outcome(metadata, req, now, "caller-left", 0, hops)
             self._on_outcome("caller-left", 0.0)
             raise
         finally:
@@ -451,7 +464,7 @@
         if isinstance(reply, Refusal):
             self._log_refusal(metadata, reply)
             return self._refuse(metadata.request_id, reply.reason, reply.retry_after_ms)
-        return self._finish(metadata, req, reply, now, nodes)
+        return self._finish(metadata, req, reply, now, hops)
 
     async def _check_rate(self, pending: PendingRequest) -> Refusal | None:
         if pending.organisation is None:
@@ -527,16 +540,16 @@
         req: AdmittedRequest,
         reply: Reply,
         started_at: float,
-        nodes: list[str],
+        hops: list[Hop],
     ) -> HttpResponse:
         reason = reason_of(reply)
         if reply.outcome == Outcome.NOT_RUN and req.organisation:
             self._rates.give_back(req.organisation)
         if reason is None:
-            self._log_outcome(metadata, req, started_at, "answered", reply.status, nodes)
+            self._log_outcome(metadata, req, started_at, "answered", reply.status, hops)
             self._on_outcome("answered", self._clock.now() - started_at)
             return HttpResponse(reply.status, reply.head, reply.body)
-        self._log_outcome(metadata, req, started_at, reason.type, reason.status, nodes)
+        self._log_outcome(metadata, req, started_at, reason.type, reason.status, hops)
         return self._refuse(metadata.request_id, reason, reply.retry_after_ms)
 
     def _refuse(self, request_id: str, reason: Reason, retry_after_ms: int) -> HttpResponse:
@@ -576,7 +589,7 @@
         started_at: float,
         outcome: str,
         status: int,
-        nodes: list[str],
+        hops: list[Hop],
     ) -> None:
         good = outcome == "answered" and status < 500
         if good and not self._explainer.should_sample():
@@ -590,7 +603,8 @@
             route=req.route.name,
             service=req.service,
             organisation=req.organisation,
-            nodes=nodes,
+            nodes=[hop.address for hop in hops],
+            left_zone=[hop.left for hop in hops if hop.left],
             priority=req.priority,
             left_ms=metadata.left_ms,
             took_ms=round((self._clock.now() - started_at) * 1000, 1),
--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -10,6 +10,7 @@
 from .frames import RetryDemand
 from .http import HttpRequest, HttpResponse, HttpService
 from .quota import RateState
+from .zone_share import ShareState
 
 __all__ = ["MeshMetrics", "OverloadState", "StoreState", "TargetState"]
 
@@ -70,8 +71,8 @@
     """The metrics of a node, in the Prometheus text format.
 
     ``rates`` returns the states of the organisations' rates, ``target`` that of the
-    target on this host, ``store`` how the node stands to the store, and ``overload`` what
-    the entry refuses.
+    target on this host, ``store`` how the node stands to the store, ``overload`` what
+    the entry refuses, and ``zones`` the shares that stay in the data centre.
     """
 
     def __init__(
@@ -80,12 +81,14 @@
         target: Callable[[], TargetState] = lambda: TargetState({}, None, 0),
         store: Callable[[], StoreState] = lambda: StoreState(False, False, 0, []),
         overload: Callable[[], OverloadState] = lambda: OverloadState({}, {}, 0, 0),
+        zones: Callable[[], ShareState] = lambda: ShareState({}, {}),
     ) -> None:
         self.requests: Counter[str] = Counter()
         self._rates = rates
         self._target = target
         self._store = store
         self._overload = overload
+        self._zones = zones
         self._buckets: Counter[int] = Counter()
         self._longest_hold_s = 0.0
         self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
@@ -116,8 +119,8 @@
         lines.append("# TYPE beryldrum_loop_hold_seconds gauge")
         lines.append(f"beryldrum_loop_hold_seconds {self._longest_hold_s:g}")
         self._longest_hold_s = 0.0
-        lines += self._target_lines() + self._rate_lines() + self._store_lines()
-        lines += self._overload_lines()
+        lines += self._target_lines() + self._zone_lines() + self._rate_lines()
+        lines += self._store_lines() + self._overload_lines()
         return "\n".join(lines) + "\n"
 
     def _target_lines(self) -> list[str]:
@@ -144,6 +147,17 @@
             lines.append(f"beryldrum_evacuated{{data_centre={label}}} 1")
         return lines
 
+    def _zone_lines(self) -> list[str]:
+        state = self._zones()
+        lines = ["# TYPE beryldrum_zone_stay_share gauge"]
+        for service, share in sorted(state.stay.items()):
+            label = msgspec.json.encode(service).decode()
+            lines.append(f"beryldrum_zone_stay_share{{service={label}}} {share:.3f}")
+        lines.append("# TYPE beryldrum_zone_left_total counter")
+        for reason, count in sorted(state.left.items()):
+            lines.append(f'beryldrum_zone_left_total{{reason="{reason}"}} {count}')
+        return lines
+
     def _rate_lines(self) -> list[str]:
         lines = []
         states = self._rates()
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -71,6 +71,7 @@
 from .store_era import StoreEra
 from .summaries import SUMMARY_PERIOD_S, Summaries
 from .target import DRAINING, Announcement
+from .zone_share import ZoneShares
 
 __all__ = ["MeshNode", "max_report_age_s", "serve"]
 
@@ -224,6 +225,7 @@
             self._target_state,
             lambda: self.follower.state(),
             lambda: self.overload_report.state(),
+            lambda: self.zone_shares.state(),
         )
         self.stopping = False
         self._replaced_target: Announcement | None = None
@@ -319,6 +321,11 @@
         )
 
     def _make_entry(self) -> Entry:
+        self.zone_shares = ZoneShares(
+            self.clock,
+            lambda: self.cfg.transfer_cost_ms_per_kb,
+            lambda change: self.explainer.event("zone share", **change._asdict()),
+        )
         self.admission = AdmissionController(
             self.clock, self._rng, self.capacity.utilisation, self.completion.ratio
         )
@@ -329,7 +336,7 @@
         attempts = AttemptRunner(
             self.clock,
             self.directory,
-            LoadBalancer(self.clock, self._rng, self.cfg.data_centre),
+            LoadBalancer(self.clock, self._rng, self.cfg.data_centre, self.zone_shares),
             Residency(lambda: self.cfg.regions),
             self.target.load_for,
             self._send,
