--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -15,7 +15,7 @@
 __all__ = ["MUTANTS", "Mutant"]
 
 ROOT = Path(__file__).parents[1]
-COPIED_PATHS = ("beryldrum", "harness", "tests", "spec", "examples", "pyproject.toml")
+COPIED_PATHS = ("beryldrum", "bench", "harness", "tests", "spec", "examples", "pyproject.toml")
 TIMEOUT_S = 180
 
 
@@ -48,6 +48,7 @@
 STOP = "tests/test_mesh_stop.py::"
 MEMORY = "tests/test_mesh_memory.py::"
 ODD_INPUT = "tests/test_mesh_odd_input.py::"
+ZONES = "tests/test_mesh_zone_share.py::"
 RESIDENCY = "tests/test_mesh_residency.py::"
 DEPARTURES = "tests/test_mesh_departures.py::"
 MUTANTS = (
@@ -872,6 +873,41 @@
         "run.is_retry)",
         RESIDENCY + "FleetTest::test_a_call_stays_in_the_regions_of_its_organisation",
     ),
+    Mutant(
+        "mesh: overloaded data centres send each other nothing",
+        "mesh/zone_share.py",
+        "            (REMOTE_MAX_USE - use) * limit / senders,\n",
+        "",
+        ZONES + "ZoneShareTest",
+    ),
+    Mutant(
+        "mesh: the share is related to the time of the news",
+        "mesh/zone_share.py",
+        "self._mean_stay * (1.0 - excess / busy)",
+        "self.stay * (1.0 - excess / busy)",
+        ZONES + "ZoneShareTest",
+    ),
+    Mutant(
+        "mesh: a share changes at a bounded rate",
+        "mesh/zone_share.py",
+        "        step = max(-MAX_LEAVE_PER_S * elapsed, min(MAX_RETURN_PER_S * elapsed, step))\n",
+        "",
+        ZONES + "ZoneShareTest::test_rate_of_change",
+    ),
+    Mutant(
+        "mesh: a request leaves a full data centre at once",
+        "mesh/load_balancer.py",
+        "        if full or cost_s >=",
+        "        if cost_s >=",
+        ZONES + "ChoiceTest",
+    ),
+    Mutant(
+        "mesh: the line of a request tells why it left",
+        "mesh/entry.py",
+        "hops.append(Hop(address, self._load_balancer.left))",
+        'hops.append(Hop(address, ""))',
+        ZONES + "LineTest",
+    ),
 )
 
 
--- a/tests/test_mesh_zone_share.py
+++ b/tests/test_mesh_zone_share.py
@@ -2,6 +2,7 @@
 
 import random
 import re
+import unittest
 from collections import deque
 
 from parameterized import parameterized
@@ -22,6 +23,8 @@
     ZoneShares,
 )
 
+from .mesh_fleet import Fleet
+
 LIMIT = 40.0
 
 
@@ -176,3 +179,16 @@
         self.assertLess(now["swapped_pct"], 0.4 * before["swapped_pct"])
         self.assertLess(now["p99_ms"], 1.25 * before["p99_ms"])
         self.assertLessEqual(now["refused_pct"], before["refused_pct"])
+
+
+class LineTest(unittest.IsolatedAsyncioTestCase):
+    """The line of a request tells why it left its data centre."""
+
+    async def test_no_target_here(self):
+        async with Fleet("stock", "shop") as fleet:
+            hosts = await fleet.serve()
+            lines = []
+            hosts[0].node.explainer.sample = lambda *_, **fields: lines.append(fields)
+            self.assertEqual(200, (await hosts[0].ask()).status)
+            self.assertEqual([["no-local"]], [line["left_zone"] for line in lines])
+            self.assertEqual({"no-local": 1}, dict(hosts[0].node.zone_shares.left))
