Mesh: a data centre that is overloaded gets nothing from another overloaded one

Cause: a full target elsewhere was taken if its cost was half of that here.

Change: no request goes to a data centre whose use is above 1 and above 0.75 of the use here, until the targets here have refused it.

--- a/beryldrum/mesh/load_balancer.py
+++ b/beryldrum/mesh/load_balancer.py
@@ -107,6 +107,8 @@
         # A retry has fewer candidates, from which no share can be computed.
         complete = first and not tried
         share = self._shares.leave_share(service, regions, route, local, remote, complete)
+        if overloaded := self._shares.overloaded(service, regions):
+            remote = [p for p in remote if p.member.data_centre not in overloaded]
         if share and self._rng.random() < share and (roomy := _below(remote, ROOM_USE)):
             return self._leave(roomy, route, SHARE)
         best, cost_s = self._draw(local, route)
@@ -116,7 +118,7 @@
         if best.utilisation() >= full_use and (roomy := _below(local, full_use)):
             best, cost_s = self._draw(roomy, route)
         full = best.utilisation() >= full_use
-        if full or cost_s >= limit_s * LOCAL_MAX_TIME_SHARE:
+        if remote and (full or cost_s >= limit_s * LOCAL_MAX_TIME_SHARE):
             other, other_cost_s = self._draw(_below(remote, ROOM_USE) or remote, route)
             has_room = other.utilisation() < ROOM_USE
             if other_cost_s < cost_s * (1.0 if has_room else FULL_MAX_COST_SHARE):
--- a/beryldrum/mesh/zone_share.py
+++ b/beryldrum/mesh/zone_share.py
@@ -46,6 +46,12 @@
 """Bounds on the change of a share per second. Demand that varies by 55 in 100 over 15 s
 changes by up to 0.23 per second."""
 
+OVERLOADED_USE = 1.0
+OVERLOADED_SHARE = 0.75
+"""Use of another data centre, and that as a share of the use here, above which it gets no
+request that the targets here have not refused. Without the share a burst had to wait here
+while queues elsewhere were much shorter."""
+
 CHANGE_TIME_S = 0.6
 """Time constant with which a share approaches its goal."""
 
@@ -144,6 +150,8 @@
     def __init__(self) -> None:
         self.stay = 1.0
         self.updated_at = float("-inf")
+        self.overloaded: frozenset[str] = frozenset()
+        """The other data centres that are overloaded as a whole."""
         self._mean_stay = 1.0
         self._use: dict[str, float] = {}
 
@@ -154,8 +162,10 @@
         elapsed = min(MAX_STEP_S, now - self.updated_at) if self._use else 0.0
         self.updated_at = now
         local = self._smoothed("", local, elapsed)
-        known = [self._smoothed(name, load, elapsed) for name, load in remote.items()]
-        goal = self._goal(local, [load for load in known if load.limit], price_s)
+        known = {name: self._smoothed(name, load, elapsed) for name, load in remote.items()}
+        most = max(OVERLOADED_USE, local.use * OVERLOADED_SHARE)
+        self.overloaded = frozenset(name for name, load in known.items() if load.use > most)
+        goal = self._goal(local, [load for load in known.values() if load.limit], price_s)
         step = (goal - self.stay) * min(1.0, elapsed / CHANGE_TIME_S)
         step = max(-MAX_LEAVE_PER_S * elapsed, min(MAX_RETURN_PER_S * elapsed, step))
         self._mean_stay += (self.stay - self._mean_stay) * min(1.0, elapsed / NEWS_TIME_S)
@@ -298,6 +308,11 @@
                 )
             )
 
+    def overloaded(self, service: str, regions: Regions) -> frozenset[str]:
+        """Return the other data centres that are overloaded as a whole."""
+        share = self._shares.get((service, regions))
+        return share.overloaded if share else frozenset()
+
     def state(self) -> ShareState:
         """Return the shares, without those of requests that name regions."""
         stay = {
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -897,8 +897,8 @@
     Mutant(
         "mesh: a request leaves a full data centre at once",
         "mesh/load_balancer.py",
-        "        if full or cost_s >=",
-        "        if cost_s >=",
+        "        if remote and (full or cost_s >= limit_s * LOCAL_MAX_TIME_SHARE):",
+        "        if remote and cost_s >= limit_s * LOCAL_MAX_TIME_SHARE:",
         ZONES + "ChoiceTest",
     ),
     Mutant(
--- a/tests/test_mesh_zone_share.py
+++ b/tests/test_mesh_zone_share.py
@@ -172,13 +172,15 @@
 
     @parameterized.expand([("at the usual delay", 1.0), ("at twice the delay", 2.0)])
     def test_five_targets(self, _, delay):
+        # A single run of some 14,000 requests varies by a fifth in its 99th percentile.
         before, now = (
-            Replay(SCENARIOS["five"], WAYS[way], delay).run() for way in ("today", "share")
+            [Replay(SCENARIOS["five"], WAYS[way], delay, seed).run() for seed in (1, 2, 3)]
+            for way in ("today", "share")
         )
-        self.assertLess(now["mb"], 0.6 * before["mb"])
-        self.assertLess(now["swapped_pct"], 0.4 * before["swapped_pct"])
-        self.assertLess(now["p99_ms"], 1.25 * before["p99_ms"])
-        self.assertLessEqual(now["refused_pct"], before["refused_pct"])
+        for measure, most in (("mb", 0.45), ("swapped_pct", 0.25), ("p99_ms", 1.15)):
+            sums = [sum(run[measure] for run in runs) for runs in (before, now)]
+            self.assertLess(sums[1], most * sums[0], measure)
+        self.assertEqual([0.0] * 3, [run["refused_pct"] for run in now])
 
 
 class LineTest(unittest.IsolatedAsyncioTestCase):
