--- a/beryldrum/mesh/exchange.py
+++ b/beryldrum/mesh/exchange.py
@@ -6,7 +6,7 @@
 from .document import Route
 from .frames import Reply, Run
 
-__all__ = ["AdmittedRequest", "answered", "not_run", "reason_of", "unknown"]
+__all__ = ["AdmittedRequest", "answered", "not_run", "reason_of", "request_head", "unknown"]
 
 
 class AdmittedRequest(NamedTuple):
@@ -51,6 +51,18 @@
         )
 
 
+def request_head(run: Run, handover_headers: bytes) -> bytes:
+    """Return the head of a run's request to its target."""
+    has_body = bool(run.body) or run.method in ("POST", "PUT", "PATCH")
+    return b"%s %s HTTP/1.1\r\n%s%s%s\r\n" % (
+        run.method.encode("latin-1"),
+        run.path.encode("latin-1"),
+        run.head,
+        handover_headers,
+        b"Content-Length: %d\r\n" % len(run.body) if has_body else b"",
+    )
+
+
 def not_run(reason: Reason, retry_after_ms: int = 0, handed: bool = False) -> Reply:
     """Return the refusal of a request that no target has started."""
     return Reply(
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -16,12 +16,13 @@
 from ..request import Outcome, Reason
 from .client import Pool
 from .conventions import Handover, ResponseKind, TargetNotice, WireAdapter
-from .exchange import answered, not_run, unknown
+from .exchange import answered, not_run, request_head, unknown
 from .explain import Explainer
 from .frames import Load, Reply, Run, TargetStatus
 from .gate import Admission, Gate, RunRequest, is_call
 from .http import MemoryBudget
 from .target import DRAINING, READY, Announcement, AnnouncementTracker
+from .told_statuses import ToldStatuses
 
 __all__ = ["LocalTarget"]
 
@@ -39,9 +40,6 @@
 STATEMENT_LOG_S = 1.0
 """Shortest interval between log lines about what the target states in its answers."""
 
-MAX_TOLD = 64
-"""Statements of other nodes that are kept until their target is known."""
-
 ANSWER_GRACE_S = 0.05
 """Time after a target's deadline in which its own answer about that is still awaited."""
 
@@ -96,8 +94,7 @@
         self._stated = False
         """Whether the target has ever stated a limit, or in an answer that it leaves."""
         self._statement_logged_at = float("-inf")
-        self._told: dict[int, TargetStatus] = {}
-        """What other nodes have told of targets that are not known here yet."""
+        self._told = ToldStatuses()
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[Reply]] = set()
         self._handed_before: dict[str, float] = {}
@@ -315,14 +312,7 @@
         if left_s <= 0:
             return not_run(request.TOO_LATE)
         handover = Handover(target.target_id, max(1, int(left_s * 1000)))
-        size = b"Content-Length: %d\r\n" % len(run.body) if _has_body(run) else b""
-        data = b"%s %s HTTP/1.1\r\n%s%s%s\r\n" % (
-            run.method.encode("latin-1"),
-            run.path.encode("latin-1"),
-            run.head,
-            self._adapter.handover_headers(handover),
-            size,
-        )
+        data = request_head(run, self._adapter.handover_headers(handover))
         idle_s = 60.0 if run.idempotent else NON_IDEMPOTENT_MAX_IDLE_S
         handed_before = run.request_id in self._handed_before
         try:
@@ -414,16 +404,13 @@
 
     def inform(self, status: TargetStatus) -> None:
         """Apply what another node has heard of the target, before this node restarted."""
-        earlier = self._told.pop(status.incarnation, status)
-        self._told[status.incarnation] = status.stricter(earlier)
-        while len(self._told) > MAX_TOLD:
-            del self._told[next(iter(self._told))]
+        self._told.add(status)
         self._apply_told()
 
     def _apply_told(self) -> None:
         if self._target is None or self._gate is None:
             return
-        status = self._told.pop(self._target.incarnation(), None)
+        status = self._told.take(self._target.incarnation())
         if status is None:
             return
         before = self.rate_limit
@@ -499,7 +486,3 @@
 def _expire(waiter: Waiter) -> None:
     if not waiter.done():
         waiter.set_result(request.TOO_LATE)
-
-
-def _has_body(run: Run) -> bool:
-    return bool(run.body) or run.method in ("POST", "PUT", "PATCH")
