Mesh: a limit for cold targets, and what their health page states

Cause: a target that is cold crashes when it gets more requests in any second than its service's row allows, and its gate knows only the limit that the target states. Change: ColdLimit paces the starts at cold_per_s and counts a request from its start until a second after its write, so that no window of a second holds more than the bound. The gate applies the stricter of the two limits.

--- a/beryldrum/mesh/client.py
+++ b/beryldrum/mesh/client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import NamedTuple, cast
 
 import httptools
@@ -300,11 +301,12 @@
         head_only: bool = False,
         new_connection: bool = False,
         body: bytes = b"",
+        on_send: Callable[[], None] | None = None,
     ) -> Response:
         """Send a request, with ``body`` behind ``data``, and return its complete answer.
 
-        A connection that has been idle for longer than ``max_idle_s`` seconds is not
-        reused. Set ``head_only`` for a HEAD request, whose answer has no body, and
+        ``on_send`` is called when the request is written. A connection that has been
+        idle for longer than ``max_idle_s`` seconds is not reused. Set ``head_only`` for a HEAD request, whose answer has no body, and
         ``new_connection`` if the same request was sent before: a repeated answer to the
         first attempt could not be told from the awaited one.
 
@@ -316,6 +318,8 @@
         conn = None if new_connection else self._take_idle(max_idle_s)
         if conn is None:
             conn = await self._connect(min(timeout_s, CONNECT_TIMEOUT_S))
+        if on_send is not None:
+            on_send()
         fut = conn.send(data, request_id, head_only, body)
         deadline = self._deadlines.schedule(timeout_s, fut)
         try:
--- a/beryldrum/mesh/conventions.py
+++ b/beryldrum/mesh/conventions.py
@@ -19,6 +19,7 @@
     "Handover",
     "RequestMetadata",
     "ResponseKind",
+    "TargetHealth",
     "TargetMessage",
     "TargetNotice",
     "WireAdapter",
@@ -75,6 +76,13 @@
     limit_readable: bool = True
 
 
+class TargetHealth(NamedTuple):
+    """What a health page states: the target that answers, and for how long it is cold."""
+
+    target_id: str
+    cold_s: float
+
+
 class Deregistration(NamedTuple):
     """A target's message that it is shutting down for good.
 
@@ -136,6 +144,10 @@
         It is None for an answer that may be from something other than the target.
         """
 
+    @abstractmethod
+    def target_health(self, response: Response) -> TargetHealth | None:
+        """Return what an answer of a health page states, or None if it is malformed."""
+
     @abstractmethod
     def response_headers(self, response: Response) -> bytes:
         """Return the header lines of a target's answer to send to the caller."""
--- a/beryldrum/mesh/gate.py
+++ b/beryldrum/mesh/gate.py
@@ -2,7 +2,8 @@
 
 More requests may arrive than the target can run in time, and a target that is full may
 hang, so it never gets more requests than it has slots, nor more per second than the limit
-that it states. Queued requests run in the order of their latest start. A request that
+that it states or, while it is cold, than a cold target takes; of two limits the stricter
+one applies. Queued requests run in the order of their latest start. A request that
 cannot be answered in time is refused at once, as *not run*, while its caller still has
 time left.
 """
@@ -15,6 +16,7 @@
 from .. import request
 from ..clock import Clock
 from ..request import Reason
+from .cold_start import ColdLimit
 from .frames import Load
 from .load_estimator import LoadEstimator
 from .queue import SlackQueue
@@ -101,6 +103,7 @@
         self.queue: SlackQueue[T] = SlackQueue()
         self.load_estimator = LoadEstimator(clock)
         self.stated_limit = StatedLimit(clock)
+        self.cold_limit = ColdLimit(clock)
         self.in_flight = 0
         self.limit = 1
         self.resize(slots)
@@ -134,17 +137,23 @@
         return req.deadline if is_call(req.priority) else req.due
 
     def _can_start(self) -> bool:
-        return self.in_flight < self.limit and not self.stated_limit.delay_s()
+        return self.in_flight < self.limit and not self.delay_s()
+
+    def delay_s(self, starts: int = 1) -> float:
+        """Return the seconds until the limits allow ``starts`` more requests to have started."""
+        return max(self.stated_limit.delay_s(starts), self.cold_limit.delay_s(starts))
 
     def _wait_s(self, starts: int) -> float:
-        return max(self._run_s * starts / self.limit, self.stated_limit.delay_s(starts))
+        return max(self._run_s * starts / self.limit, self.delay_s(starts))
 
     def _capacity(self) -> int:
-        return self.stated_limit.capacity(self._success_run_s, self.limit)
+        stated = self.stated_limit.capacity(self._success_run_s, self.limit)
+        return self.cold_limit.capacity(self._success_run_s, stated)
 
     def _start(self) -> None:
         self.in_flight += 1
         self.stated_limit.take()
+        self.cold_limit.take()
         self._update_load()
 
     def _update_load(self) -> None:
@@ -177,6 +186,7 @@
         """Record that a started request was not handed over to the target."""
         self.in_flight -= 1
         self.stated_limit.give_back()
+        self.cold_limit.give_back()
         self._update_load()
 
     def withdraw(self, item: T) -> bool:
--- a/beryldrum/platform/conventions.py
+++ b/beryldrum/platform/conventions.py
@@ -12,6 +12,7 @@
     Handover,
     RequestMetadata,
     ResponseKind,
+    TargetHealth,
     TargetMessage,
     TargetNotice,
     WireAdapter,
@@ -36,6 +37,8 @@
 LEAVING_VALUES = {b"0", b"1"}
 NOTHING_STATED = TargetNotice(None, False)
 CALLER_SERVICE = b"X-Caller-Service"
+COLD_MS = b"x-cold-milliseconds"
+TARGET_ID = b"x-instance-id"
 MISDIRECTED = 421
 
 HOP_BY_HOP = frozenset(
@@ -59,8 +62,8 @@
 )
 STRIPPED = HOP_BY_HOP | RESERVED
 
-MAX_RATE_PER_S = 1e9
-"""A higher limit of a target is taken for this one."""
+MAX_NUMBER = 1e9
+"""A higher limit or time that a target states is taken for this one."""
 
 MAX_DEADLINE_DIGITS = 12
 """Digits of a deadline in milliseconds; all longer ones are beyond any route's timeout."""
@@ -167,13 +170,20 @@
             return NOTHING_STATED
         limits = {value for low, _, value in response.raw_headers if low == RATE_LIMIT}
         leaving = {value.strip() for low, _, value in response.raw_headers if low == LEAVING}
-        rates = {_requests_per_s(value) for value in limits}
+        rates = {_number(value) for value in limits}
         rate_limit = rates.pop() if len(rates) == 1 else None
         limit_readable = rate_limit is not None or not limits
         readable = limit_readable and leaving <= LEAVING_VALUES
         problem = "" if readable else f"limit {sorted(limits)}, leaving {sorted(leaving)}"
         return TargetNotice(rate_limit, b"1" in leaving, problem, limit_readable)
 
+    def target_health(self, response: Response) -> TargetHealth | None:
+        cold_ms = _number(response.header(COLD_MS))
+        target_id = response.header(TARGET_ID).strip().decode("latin-1")
+        if response.status == MISDIRECTED or cold_ms is None or not target_id:
+            return None
+        return TargetHealth(target_id, cold_ms / 1000)
+
     def response_headers(self, response: Response) -> bytes:
         stripped = _headers_to_strip(response.raw_headers)
         lines = [
@@ -230,13 +240,13 @@
         return 0
 
 
-def _requests_per_s(value: bytes) -> float | None:
+def _number(value: bytes) -> float | None:
     try:
         # Python's digit separators are not part of the format.
-        rate = math.nan if b"_" in value else float(value)
+        number = math.nan if b"_" in value else float(value)
     except ValueError:
         return None
-    return min(rate, MAX_RATE_PER_S) if math.isfinite(rate) and rate >= 0.0 else None
+    return min(number, MAX_NUMBER) if math.isfinite(number) and number >= 0.0 else None
 
 
 def _bearer_key(authorization: bytes) -> str:
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -474,7 +474,7 @@
     Mutant(
         "mesh: a stated limit is kept at the gate",
         "mesh/gate.py",
-        "        return self.in_flight < self.limit and not self.stated_limit.delay_s()\n",
+        "        return self.in_flight < self.limit and not self.delay_s()\n",
         "        return self.in_flight < self.limit\n",
         NOTICES + "StatedLimitTest",
     ),
