Mesh: cold targets are limited at their gate; evacuated data centres get no requests

Cause: a cold target got as many requests as a warm one, and nothing applied an evacuation. Change: the local target follows heartbeats and, after an evacuation, the health page; its gate refuses new and queued requests while the data centre is evacuated. The directory offers no evacuated target. The admission falls when an evacuation becomes known, by the load that the evacuated targets had. EvacuationResponse.follow connects it to the evacuations that are in force; that call is still missing in the node.

--- a/beryldrum/mesh/admission.py
+++ b/beryldrum/mesh/admission.py
@@ -156,6 +156,11 @@
             arrivals.admitted += not refusing
         return not refusing
 
+    def admitted_share(self, service: str) -> float:
+        """Return the share of the requests for a service that was admitted recently."""
+        arrivals = self._services.get(service)
+        return arrivals.admitted_share() if arrivals is not None else 1.0
+
     def has_target(self, service: str) -> bool:
         """Tell whether a service has a reachable target."""
         return self._load(service) is not None
--- a/beryldrum/mesh/client.py
+++ b/beryldrum/mesh/client.py
@@ -306,9 +306,10 @@
         """Send a request, with ``body`` behind ``data``, and return its complete answer.
 
         ``on_send`` is called when the request is written. A connection that has been
-        idle for longer than ``max_idle_s`` seconds is not reused. Set ``head_only`` for a HEAD request, whose answer has no body, and
-        ``new_connection`` if the same request was sent before: a repeated answer to the
-        first attempt could not be told from the awaited one.
+        idle for longer than ``max_idle_s`` seconds is not reused. Set ``head_only`` for a
+        HEAD request, whose answer has no body, and ``new_connection`` if the same request
+        was sent before: a repeated answer to the first attempt could not be told from the
+        awaited one.
 
         Raises TargetUnreachedError if no connection could be opened, so nothing was
         sent; AnswerLostError if the request may have been sent and no complete answer
--- a/beryldrum/mesh/directory.py
+++ b/beryldrum/mesh/directory.py
@@ -6,7 +6,7 @@
 work to it.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
 import xxhash
@@ -36,6 +36,10 @@
 """Time for which a node is not selected after a connection to it failed, if it is known
 only from summaries."""
 
+RECENT_SERVICE_S = 2.0
+"""Time for which the last load of a target that has stopped to serve tells what it took:
+its node may report that before this one knows of the evacuation that caused it."""
+
 LATENCY_EXPIRY_S = 3.0
 """Age at which a recorded latency is discarded, so that the target is tried again."""
 
@@ -56,6 +60,10 @@
         self.added_at = now
         self.last_seen_at = float("-inf")
         self.load = Load()
+        self.last_served = Load()
+        """The last load with which its target accepted requests."""
+        self.served_at = float("-inf")
+        """When that load was replaced by one of a target that accepts none."""
         self.target_status: TargetStatus | None = None
         """What its target has stated, as last reported; kept when the node restarts."""
         self.calls: dict[str, float] = {}
@@ -142,6 +150,8 @@
         self._data_centres: dict[str, _RemoteDataCentre] = {}
         self._reported_data_centres = 0
         """Largest number of data centres that another node has reported."""
+        self.evacuated: Callable[[str], bool] = lambda data_centre: False
+        """Tells whether the targets of a data centre are to get no requests."""
         self.membership_version = 0
         """Incremented when the result of :meth:`local_peers` may have changed."""
         self.large = False
@@ -277,6 +287,8 @@
         """Store the load that a node reports."""
         if peer.load.service != load.service:
             self._services = None
+        if peer.load.service and not load.service:
+            peer.last_served, peer.served_at = peer.load, self._clock.now()
         peer.load = load
         peer.target_status = load.status or peer.target_status
         peer.sent = 0
@@ -289,6 +301,29 @@
             peer.connected = connected
             self._readers_changed()
 
+    def evacuations_changed(self) -> None:
+        """Apply that another result of ``evacuated`` may be in force."""
+        self._services = None
+
+    def evacuated_data_centres(self) -> set[str]:
+        """Return the known data centres that are evacuated."""
+        names = {peer.member.data_centre for peer in self.peers.values()}
+        return {name for name in names | {self.own.data_centre} if self.evacuated(name)}
+
+    def loads_in(self, data_centres: Collection[str]) -> list[Load]:
+        """Return what the other nodes of data centres last reported while they served."""
+        now = self._clock.now()
+        found = []
+        for peer in self.peers.values():
+            if peer.member.data_centre not in data_centres:
+                continue
+            known = peer.connected or now - peer.summarised_at < SUMMARY_EXPIRY_S
+            if peer.load.service and known:
+                found.append(peer.load)
+            elif not peer.load.service and now - peer.served_at < RECENT_SERVICE_S:
+                found.append(peer.last_served)
+        return found
+
     def serving(self, service: str) -> list[Peer]:
         """Return the reachable nodes whose target accepts requests of a service."""
         if self._services is None or self._clock.now() >= self._services_until:
@@ -300,7 +335,8 @@
         self._services_until = self._clock.now() + expiry_s
         found: dict[str, list[Peer]] = {}
         for peer in self.peers.values():
-            if peer.load.service and self.is_serving(peer):
+            evacuated = self.evacuated(peer.member.data_centre)
+            if peer.load.service and self.is_serving(peer) and not evacuated:
                 found.setdefault(peer.load.service, []).append(peer)
         return found
 
--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -15,6 +15,8 @@
 from ..errors import AnswerLostError, TargetUnreachedError
 from ..request import Outcome, Reason
 from .client import Pool
+from .cold_start import ColdPolicy, Sending
+from .cold_watch import ColdWatch
 from .conventions import Handover, ResponseKind, TargetNotice, WireAdapter
 from .exchange import answered, not_run, request_head, unknown
 from .explain import Explainer
@@ -46,6 +48,9 @@
 MIN_RETRY_AFTER_MS = 50
 """Lower bound on the Retry-After of a refusal."""
 
+EVACUATED_RETRY_AFTER_MS = 1_000
+"""Retry-After where the data centre is evacuated, which lasts for seconds at least."""
+
 Waiter = asyncio.Future[Reason | None]
 
 
@@ -54,7 +59,8 @@
 
     ``on_run`` is called with the route of each request that is handed over, ``on_change``
     when peers have to be notified at once. ``memory`` bounds the bytes of the answers
-    that are being read.
+    that are being read. ``cold_policy`` says what a cold target may get; without it there
+    is no limit.
     """
 
     def __init__(
@@ -65,6 +71,7 @@
         on_run: Callable[[str], None],
         memory: MemoryBudget | None = None,
         on_change: Callable[[], None] = lambda: None,
+        cold_policy: ColdPolicy | None = None,
     ) -> None:
         self._clock = clock
         self._adapter = adapter
@@ -72,6 +79,9 @@
         self._on_run = on_run
         self._on_change = on_change
         self._memory = memory
+        self.cold = ColdWatch(clock, adapter, explainer, cold_policy, self._on_cold_change)
+        self.evacuated = False
+        """Whether the operator has asked that no request goes to this data centre."""
         self.announcements = AnnouncementTracker()
         self.departures_known = False
         """Whether it is known which targets had left before this process started."""
@@ -116,6 +126,8 @@
             return True
         assert self._gate is not None
         self._gate.resize(announcement.slots)
+        if self.cold.heartbeat(announcement):
+            self._on_cold_change()
         return old.state != announcement.state or old.slots != announcement.slots
 
     def _hold(self, announcement: Announcement) -> bool:
@@ -153,6 +165,7 @@
         self._stated = False
         self._pool = Pool(announcement.address, self._adapter.request_id_header, self._memory)
         self._gate = Gate(self._clock, announcement.slots)
+        self.cold.adopt(announcement, self._gate.cold_limit, self._pool)
         self._apply_told()
 
     def deregister(self, target_id: str, born_ms: int = 0) -> bool:
@@ -166,6 +179,18 @@
             self._refuse_waiting(request.LEAVING)
         return left
 
+    def evacuate(self, evacuated: bool) -> None:
+        """Apply whether this data centre is evacuated; running requests go on."""
+        if evacuated == self.evacuated:
+            return
+        self.evacuated = evacuated
+        if evacuated:
+            self.cold.cancel()
+            self._refuse_waiting(request.EVACUATED)
+        else:
+            self.cold.evacuation_ended()
+        self._on_change()
+
     def _refuse_waiting(self, reason: Reason) -> None:
         if self._gate is not None:
             for waiter, refusal in self._gate.drain_queue(reason):
@@ -211,6 +236,7 @@
         """Close stale connections; returns whether the heartbeats have just timed out."""
         if self._pool is not None:
             self._pool.sweep()
+        self.cold.tick()
         now = self._clock.now()
         self._handed_before = {k: v for k, v in self._handed_before.items() if v > now}
         silent = now - self._last_heartbeat_at > HEARTBEAT_TIMEOUT_S
@@ -226,6 +252,8 @@
             return request.NO_TARGET
         if target.state != READY:
             return request.LEAVING
+        if self.evacuated:
+            return request.EVACUATED
         return request.STOPPING if self.stopping else None
 
     # Running.
@@ -239,7 +267,7 @@
         """
         refusal = self._refusal(run.service)
         if refusal is not None:
-            reply = not_run(refusal)
+            reply = not_run(refusal, self._refusal_retry_after_ms(refusal))
         else:
             assert self._gate is not None
             reply = await self._admit(self._gate, run)
@@ -260,11 +288,13 @@
             self._schedule_dispatch(gate)
             reason = await self._wait(gate, waiter, deadline)
             if reason is not None:
-                return not_run(reason, self._retry_after_ms(gate))
+                wait_ms = self._refusal_retry_after_ms(reason) or self._retry_after_ms(gate)
+                return not_run(reason, wait_ms)
         if gate is not self._gate or self._refusal(run.service) is not None:
             gate.abandon()
             self._dispatch(gate)
-            return not_run(self._refusal(run.service) or request.NO_TARGET)
+            refusal = self._refusal(run.service) or request.NO_TARGET
+            return not_run(refusal, self._refusal_retry_after_ms(refusal))
         if run.idempotent:
             return await self._hand_over(gate, run, deadline)
         task = asyncio.create_task(self._hand_over(gate, run, deadline))
@@ -296,16 +326,18 @@
         self.handed[kind] += 1
         self.running[run.request_id] = run
         ok = False
+        sending = gate.cold_limit.sending()
         try:
-            reply = await self._send(run, deadline)
+            reply = await self._send(run, deadline, sending)
             ok = reply.outcome == Outcome.ANSWERED and reply.status < 500
             return reply
         finally:
             self.running.pop(run.request_id, None)
+            sending.close()
             gate.finish(run.route, self._clock.now() - started, ok)
             self._dispatch(gate)
 
-    async def _send(self, run: Run, deadline: float) -> Reply:
+    async def _send(self, run: Run, deadline: float, sending: Sending) -> Reply:
         assert self._pool is not None and self._target is not None
         target, handed_at = self._target, self._clock.now()
         left_s = deadline - handed_at
@@ -324,6 +356,7 @@
                 run.method == "HEAD",
                 handed_before,
                 run.body,
+                sending,
             )
         except TargetUnreachedError:
             return not_run(request.TARGET_UNREACHED)
@@ -391,6 +424,12 @@
         if started_or_ended:
             self._on_change()
 
+    def _on_cold_change(self) -> None:
+        if self._gate is not None:
+            self._cancel_dispatch()
+            self._dispatch(self._gate)
+            self._on_change()
+
     def _leave(self, source: str) -> None:
         assert self._target is not None
         self._stated = True
@@ -440,7 +479,7 @@
         """Wake up when the target's limit allows the next queued request to start."""
         if gate is not self._gate or gate.queue.empty or self._dispatch_timer is not None:
             return
-        delay_s = gate.stated_limit.delay_s()
+        delay_s = gate.delay_s()
         if delay_s > 0.0:
             loop = asyncio.get_running_loop()
             self._dispatch_timer = loop.call_later(delay_s, self._dispatch_delayed, gate)
@@ -454,6 +493,10 @@
         self._dispatch_timer = None
         self._dispatch(gate)
 
+    @staticmethod
+    def _refusal_retry_after_ms(reason: Reason) -> int:
+        return EVACUATED_RETRY_AFTER_MS if reason is request.EVACUATED else 0
+
     @staticmethod
     def _retry_after_ms(gate: Gate[Waiter]) -> int:
         return max(MIN_RETRY_AFTER_MS, int(gate.wait_s() * 1000))
--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 import msgspec
@@ -34,12 +35,18 @@
     """The requests handed to the target since the start, by kind, and its statements.
 
     ``rate_limit`` is in requests per second, None if the target states none;
-    ``notices_ignored`` counts the answers whose statements were ignored.
+    ``notices_ignored`` counts the answers whose statements were ignored. ``cold_s`` is the
+    time for which the limit of a cold target is in force, infinite until the target says,
+    and None without one. ``health_checks`` counts them by result, and ``evacuated`` tells
+    whether the data centre is.
     """
 
     handed: Mapping[str, int]
     rate_limit: float | None
     notices_ignored: int
+    cold_s: float | None = None
+    health_checks: Mapping[str, int] = MappingProxyType({})
+    evacuated: bool = False
 
 
 class StoreState(NamedTuple):
@@ -130,6 +137,16 @@
         if state.rate_limit is not None:
             lines.append("# TYPE beryldrum_target_rate_limit gauge")
             lines.append(f"beryldrum_target_rate_limit {state.rate_limit:g}")
+        if state.cold_s is not None:
+            lines.append("# TYPE beryldrum_target_cold_seconds gauge")
+            text = "+Inf" if state.cold_s == float("inf") else f"{state.cold_s:g}"
+            lines.append(f"beryldrum_target_cold_seconds {text}")
+        if state.health_checks:
+            lines.append("# TYPE beryldrum_target_health_checks_total counter")
+            for result, count in sorted(state.health_checks.items()):
+                lines.append(f'beryldrum_target_health_checks_total{{result="{result}"}} {count}')
+        lines.append("# TYPE beryldrum_evacuated gauge")
+        lines.append(f"beryldrum_evacuated {int(state.evacuated)}")
         return lines
 
     def _store_lines(self) -> list[str]:
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -14,6 +14,7 @@
 from ..errors import PeerLostError, SettingsError
 from .admission import AdmissionController
 from .capacity import ServiceCapacity
+from .cold_start import ColdPolicy
 from .completion import CallCompletion
 from .configuration import ConfigurationState
 from .conventions import Deregistration, TargetMessage, WireAdapter
@@ -23,6 +24,7 @@
 from .document import FleetDocument, Route
 from .entry import AdmissionCheck, AttemptRunner, Entry, KeyCheck
 from .evacuation import Evacuations
+from .evacuation_response import EvacuationResponse
 from .exchange import unknown
 from .explain import Explainer
 from .follow import Follower
@@ -214,6 +216,7 @@
             self.graph.record_run,
             response_memory,
             self._broadcast_state,
+            ColdPolicy(lambda: self.cfg, lambda: self.configuration.document),
         )
         self.departures = DepartureRecorder(
             self.clock, store, address, self.explainer, self.target.announcements.departures
@@ -243,7 +246,15 @@
             self.quotas, self.directory, self.explainer, self._request, self._notify
         )
         self.capacity = ServiceCapacity(
-            self.clock, self.directory, self.graph, self.target.load, lambda: self.cfg
+            self.clock,
+            self.directory,
+            self.graph,
+            self.target.load,
+            lambda: self.cfg,
+            lambda service: self.admission.admitted_share(service),
+        )
+        self.evacuation_response = EvacuationResponse(
+            self.directory, self.capacity, self.target, self.explainer
         )
         self.completion = CallCompletion(
             self.clock, self.capacity.budget, self.directory.retry_demands
@@ -351,7 +362,15 @@
         )
 
     def _target_state(self) -> TargetState:
-        return TargetState(self.target.handed, self.target.rate_limit, self.target.notices_ignored)
+        target, cold = self.target, self.target.cold
+        return TargetState(
+            target.handed,
+            target.rate_limit,
+            target.notices_ignored,
+            cold.cold_s(),
+            cold.health_checks,
+            target.evacuated,
+        )
 
     # Decisions that combine several components.
 
@@ -369,6 +388,7 @@
             # Another target will announce itself; until then the settings are newer.
             self._replaced_target = self.target.announcements.current
         self.cfg = cfg
+        self.target.cold.configure()
 
     def _record_call(self, route: Route, request_id: str) -> tuple[int, bool]:
         """Record a call that the local target makes.
@@ -660,6 +680,7 @@
     def _on_configuration(self, doc: FleetDocument) -> None:
         self.quotas.load(doc.rate_limited())
         self.graph.load({route.name: route.service_weights[0].service for route in doc.routes})
+        self.target.cold.configure()
         self._broadcast_state()
 
     # The local target.
@@ -823,6 +844,7 @@
         for task in [*self._tasks, *self._link_tasks.values()]:
             task.cancel()
         self.departures.stop()
+        self.target.cold.cancel()
         self._store.close()
 
 
