--- a/beryldrum/mesh/capacity.py
+++ b/beryldrum/mesh/capacity.py
@@ -119,13 +119,15 @@
         if self._directory.own.data_centre in begun:
             loads.append(self._own_load())
         for load in loads:
-            moving[load.service] = moving.get(load.service, 0.0) + load.full * load.limit
+            # It may have been about to take over from targets that were evacuated before.
+            used = max(load.full, self._expected(load.service))
+            moving[load.service] = moving.get(load.service, 0.0) + used * load.limit
         expected = {}
         for service, moved in moving.items():
-            used, total = self.utilisation(service), sum(n.limit for n in self._loads(service))
-            if used is None:
+            others, total = self.utilisation(service), sum(n.limit for n in self._loads(service))
+            if others is None:
                 continue
-            expected[service] = used + moved / total
+            expected[service] = others + moved / total
             admitted = max(MIN_ADMITTED_SHARE, self._admitted_share(service))
             self._shifts[service] = _Shift(expected[service], admitted, self._clock.now())
         return expected
--- a/beryldrum/standin/endpoint.py
+++ b/beryldrum/standin/endpoint.py
@@ -8,9 +8,11 @@
 
 import httptools
 
-__all__ = ["EndpointStandin", "ParsedRequest"]
+__all__ = ["HEALTH_PATH", "EndpointStandin", "ParsedRequest"]
 
 HANG_S = 3_600.0
+HEALTH_PATH = "/_health"
+"""Path of the health page, which is answered as ``cold_ms`` and ``health_script`` say."""
 
 
 class ParsedRequest:
@@ -69,6 +71,12 @@
         """Header lines about the target itself that each answer has, each ended by CR LF."""
         self.arrivals: list[float] = []
         """Monotonic times in seconds at which requests arrived."""
+        self.cold_ms = 0
+        """Time for which it is cold, as its health page states it."""
+        self.health_script: deque[str] = deque()
+        """Behaviours for the next health checks: ``cut``, or ``other`` for another's answer."""
+        self.health_checks: list[float] = []
+        """Monotonic times in seconds at which health checks arrived."""
         self.disconnects = 0
         self.connections = 0
         self._server: asyncio.Server | None = None
@@ -110,6 +118,9 @@
         self, req: ParsedRequest, reader: asyncio.StreamReader, writer: Any, kept: bool
     ) -> None:
         self.arrivals.append(time.monotonic())
+        if req.url == HEALTH_PATH.encode():
+            self._respond_health(writer)
+            return
         behaviour = self.script.popleft() if self.script else ""
         request_id = req.headers.get("x-request-id", "")
         if behaviour == "full":
@@ -166,6 +177,16 @@
         else:
             writer.write(response)
 
+    def _respond_health(self, writer: Any) -> None:
+        self.health_checks.append(time.monotonic())
+        behaviour = self.health_script.popleft() if self.health_script else ""
+        if behaviour == "cut":
+            writer.close()
+            return
+        target_id = "another" if behaviour == "other" else self.target_id
+        health = f"X-Instance-Id: {target_id}\r\nX-Cold-Milliseconds: {self.cold_ms}\r\n"
+        writer.write(_response(200, "", b"", health))
+
 
 def _response(status: int, request_id: str, body: bytes, extra_headers: str) -> bytes:
     head = (
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -54,13 +54,16 @@
 )
 
 
-def config(version=1, routes=ROUTES, keys=(KEY,), rate=0, burst=0, **limits):
+SERVICES = ({"name": "shop"}, {"name": "stock"})
+
+
+def config(version=1, routes=ROUTES, keys=(KEY,), rate=0, burst=0, services=SERVICES, **limits):
     """Return a configuration in the operator's format, as JSON."""
     return json.dumps(
         {
             "version": version,
             "routes": table(*routes),
-            "services": table({"name": "shop"}, {"name": "stock"}),
+            "services": table(*services),
             "tenants": table(
                 {
                     "name": "mart",
@@ -89,13 +92,13 @@
         self.node = MeshNode(self.cfg, PlatformAdapter(), self.store, structlog.get_logger())
         await self.node.start()
 
-    async def announce(self, sequence=1, state="ready", born=1, slots=4, **changes):
+    async def announce(self, sequence=1, state="ready", born=1, slots=4, cold_ms=0, **changes):
         """Send a heartbeat of the target and return the status of the answer."""
         information = {"service": self.cfg.service, "zone": self.cfg.data_centre, "slots": slots}
         beat = {
             "address": self.cfg.target,
             "information": information,
-            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": 0},
+            "status": {"state": state, "sequence": sequence, "cold_remaining_ms": cold_ms},
             "born": born,
         }
         body = json.dumps(beat | changes).encode()
