--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -49,6 +49,8 @@
 MEMORY = "tests/test_mesh_memory.py::"
 ODD_INPUT = "tests/test_mesh_odd_input.py::"
 DEPARTURES = "tests/test_mesh_departures.py::"
+COLD = "tests/test_mesh_cold_start.py::"
+EVACUATION = "tests/test_mesh_evacuation_load.py::"
 MUTANTS = (
     Mutant(
         "retries stay bounded end to end",
@@ -857,6 +859,76 @@
         "return max(COHORTS, priority - KIND_COHORTS)",
         RETURNS + "ReturnsTest::test_preferred_to_no_more_important_request",
     ),
+    Mutant(
+        "mesh: a cold target's limit is kept at the gate",
+        "mesh/gate.py",
+        "max(self.stated_limit.delay_s(starts), self.cold_limit.delay_s(starts))",
+        "self.stated_limit.delay_s(starts)",
+        COLD + "ColdGateTest",
+    ),
+    Mutant(
+        "mesh: a request to a cold target counts until it is written",
+        "mesh/cold_start.py",
+        "        if self._unsent + len(self._sent) < rate.most:\n",
+        "        if len(self._sent) < rate.most:\n",
+        COLD + "ColdLimitTest",
+    ),
+    Mutant(
+        "mesh: a new process allows for what the last one sent to a cold target",
+        "mesh/cold_start.py",
+        " and now < self._known_from + WINDOW_S:\n",
+        " and False:\n",
+        COLD + "ColdLimitTest",
+    ),
+    Mutant(
+        "mesh: a cold target gets nothing before its rate is known",
+        "mesh/cold_start.py",
+        "            return ColdRate(0.0, 0)\n",
+        "            return None\n",
+        COLD + "PolicyTest",
+    ),
+    Mutant(
+        "mesh: a heartbeat from before the end of an evacuation does not end the doubt",
+        "mesh/cold_start.py",
+        "        if now < self._trusted_from:\n",
+        "        if False:\n",
+        COLD + "KnowledgeTest",
+    ),
+    Mutant(
+        "mesh: a health check that was answered is not repeated",
+        "mesh/cold_watch.py",
+        "            if await self._ask_once(target, limit, pool, path):\n                return\n",
+        "            await self._ask_once(target, limit, pool, path)\n",
+        COLD + "EvacuationFleetTest",
+    ),
+    Mutant(
+        "mesh: no health check where no limit is in force",
+        "mesh/cold_watch.py",
+        "        if self._policy.rate(target.service) is None:\n            return\n",
+        "",
+        COLD + "EvacuationFleetTest",
+    ),
+    Mutant(
+        "mesh: the gate of an evacuated data centre refuses",
+        "mesh/local_target.py",
+        "        if self.evacuated:\n            return request.EVACUATED\n",
+        "",
+        COLD + "EvacuationFleetTest",
+    ),
+    Mutant(
+        "mesh: no target of an evacuated data centre is chosen",
+        "mesh/directory.py",
+        " and not evacuated:",
+        ":",
+        EVACUATION + "ExpectedUtilisationTest",
+    ),
+    Mutant(
+        "mesh: the load of evacuated targets counts at once",
+        "mesh/capacity.py",
+        "max(reported, self._expected(service)) if self._shifts else reported",
+        "reported",
+        EVACUATION + "EvacuationLoadTest",
+    ),
 )
 
 
--- a/tests/test_mesh_cold_start.py
+++ b/tests/test_mesh_cold_start.py
@@ -91,6 +91,15 @@
         written = write_times(ColdRate(14.0, 29), 1.0, 1)
         self.assertLessEqual(len(written), 15)
 
+    @parameterized.expand([("leaves room", 29, 0.0, 0.1), ("does not", 14, 1.0, 1.1)])
+    def test_a_new_process_waits_if_the_bound_leaves_no_room_for_what_the_last_one_sent(
+        self, _, most, least, longest
+    ):
+        limit = ColdLimit(ManualClock())
+        limit.configure(ColdRate(14.0, most))
+        limit.state(5.0)
+        self.assertTrue(least < limit.delay_s() < longest, limit.delay_s())
+
     def test_nothing_starts_while_the_rate_is_not_known(self):
         limit = ColdLimit(ManualClock())
         limit.configure(ColdRate(0.0, 0))
