--- a/beryldrum/mesh/metrics.py
+++ b/beryldrum/mesh/metrics.py
@@ -37,8 +37,7 @@
     ``rate_limit`` is in requests per second, None if the target states none;
     ``notices_ignored`` counts the answers whose statements were ignored. ``cold_s`` is the
     time for which the limit of a cold target is in force, infinite until the target says,
-    and None without one. ``health_checks`` counts them by result, and ``evacuated`` tells
-    whether the data centre is.
+    and None without one. ``health_checks`` counts them by result.
     """
 
     handed: Mapping[str, int]
@@ -46,7 +45,6 @@
     notices_ignored: int
     cold_s: float | None = None
     health_checks: Mapping[str, int] = MappingProxyType({})
-    evacuated: bool = False
 
 
 class StoreState(NamedTuple):
@@ -145,8 +143,6 @@
             lines.append("# TYPE beryldrum_target_health_checks_total counter")
             for result, count in sorted(state.health_checks.items()):
                 lines.append(f'beryldrum_target_health_checks_total{{result="{result}"}} {count}')
-        lines.append("# TYPE beryldrum_evacuated gauge")
-        lines.append(f"beryldrum_evacuated {int(state.evacuated)}")
         return lines
 
     def _store_lines(self) -> list[str]:
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -369,7 +369,6 @@
             target.notices_ignored,
             cold.cold_s(),
             cold.health_checks,
-            target.evacuated,
         )
 
     # Decisions that combine several components.
