Mesh: a node applies the evacuations that it knows

Cause: nodes followed the operator's records and told each other, and nothing acted on them. Change: the node connects EvacuationResponse to Evacuations; a fleet test writes the records.

--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -256,6 +256,7 @@
         self.evacuation_response = EvacuationResponse(
             self.directory, self.capacity, self.target, self.explainer
         )
+        self.evacuation_response.follow(self.evacuations)
         self.completion = CallCompletion(
             self.clock, self.capacity.budget, self.directory.retry_demands
         )
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -929,6 +929,13 @@
         "reported",
         EVACUATION + "EvacuationLoadTest",
     ),
+    Mutant(
+        "mesh: a node applies the evacuations that it knows",
+        "mesh/node.py",
+        "        self.evacuation_response.follow(self.evacuations)\n",
+        "",
+        COLD + "EvacuationFleetTest::test_records_of_the_operator_are_applied",
+    ),
 )
 
 
--- a/tests/test_mesh_cold_start.py
+++ b/tests/test_mesh_cold_start.py
@@ -14,6 +14,7 @@
 from beryldrum.mesh.client import Response
 from beryldrum.mesh.cold_start import HEARTBEAT_DELAY_S, ColdLimit, ColdPolicy, ColdRate
 from beryldrum.mesh.document import Service
+from beryldrum.mesh.frames import Load
 from beryldrum.mesh.gate import Admission, Gate, RunRequest
 from beryldrum.mesh.settings import MeshSettings
 from beryldrum.platform.conventions import PlatformAdapter
@@ -399,6 +400,21 @@
             if cold:
                 self.assertLessEqual(most_in_a_second(shop.target.arrivals), MOST)
 
+    async def test_records_of_the_operator_are_applied(self):
+        async with Fleet("shop", "shop", **BOUNDS) as fleet:
+            hosts = await fleet.serve(config(services=SERVICES))
+            one, two = hosts
+            fleet.store.evacuate("dc0")
+            await until(lambda: all(h.node.directory.evacuated("dc0") for h in hosts))
+            self.assertEqual(Load(), one.node.target.load())
+            for host in hosts * 3:
+                self.assertEqual(200, (await host.ask()).status)
+            self.assertEqual((0, 6), (len(one.target.runs), len(two.target.runs)))
+            fleet.store.evacuate("dc0", b"")
+            await until(lambda: one.target.health_checks)
+            await until(lambda: two.node.directory.serving("shop"))
+            self.assertEqual([], two.target.health_checks)
+
     async def test_without_a_limit_no_health_check_is_paid_for(self):
         async with Fleet("shop") as fleet:
             (shop,) = await fleet.serve(config(services=SERVICES))
