--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -15,13 +15,16 @@
 from ..errors import AnswerLostError, TargetUnreachedError
 from ..request import Outcome, Reason
 from .client import Pool
+from .cold_start import ColdPolicy, Sending
+from .cold_watch import ColdWatch
 from .conventions import Handover, ResponseKind, TargetNotice, WireAdapter
-from .exchange import answered, not_run, unknown
+from .exchange import answered, not_run, request_head, unknown
 from .explain import Explainer
 from .frames import Load, Reply, Run, TargetStatus
 from .gate import Admission, Gate, RunRequest, is_call
 from .http import MemoryBudget
 from .target import DRAINING, READY, Announcement, AnnouncementTracker
+from .told_statuses import ToldStatuses
 
 __all__ = ["LocalTarget"]
 
@@ -39,15 +42,15 @@
 STATEMENT_LOG_S = 1.0
 """Shortest interval between log lines about what the target states in its answers."""
 
-MAX_TOLD = 64
-"""Statements of other nodes that are kept until their target is known."""
-
 ANSWER_GRACE_S = 0.05
 """Time after a target's deadline in which its own answer about that is still awaited."""
 
 MIN_RETRY_AFTER_MS = 50
 """Lower bound on the Retry-After of a refusal."""
 
+EVACUATED_RETRY_AFTER_MS = 1_000
+"""Retry-After where the data centre is evacuated, which lasts for seconds at least."""
+
 Waiter = asyncio.Future[Reason | None]
 
 
@@ -56,7 +59,8 @@
 
     ``on_run`` is called with the route of each request that is handed over, ``on_change``
     when peers have to be notified at once. ``memory`` bounds the bytes of the answers
-    that are being read.
+    that are being read. ``cold_policy`` says what a cold target may get; without it there
+    is no limit.
     """
 
     def __init__(
@@ -67,6 +71,7 @@
         on_run: Callable[[str], None],
         memory: MemoryBudget | None = None,
         on_change: Callable[[], None] = lambda: None,
+        cold_policy: ColdPolicy | None = None,
     ) -> None:
         self._clock = clock
         self._adapter = adapter
@@ -74,6 +79,9 @@
         self._on_run = on_run
         self._on_change = on_change
         self._memory = memory
+        self.cold = ColdWatch(clock, adapter, explainer, cold_policy, self._on_cold_change)
+        self.evacuated = False
+        """Whether the operator has asked that no request goes to this data centre."""
         self.announcements = AnnouncementTracker()
         self.departures_known = False
         """Whether it is known which targets had left before this process started."""
@@ -96,8 +104,7 @@
         self._stated = False
         """Whether the target has ever stated a limit, or in an answer that it leaves."""
         self._statement_logged_at = float("-inf")
-        self._told: dict[int, TargetStatus] = {}
-        """What other nodes have told of targets that are not known here yet."""
+        self._told = ToldStatuses()
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[Reply]] = set()
         self._handed_before: dict[str, float] = {}
@@ -119,6 +126,8 @@
             return True
         assert self._gate is not None
         self._gate.resize(announcement.slots)
+        if self.cold.heartbeat(announcement):
+            self._on_cold_change()
         return old.state != announcement.state or old.slots != announcement.slots
 
     def _hold(self, announcement: Announcement) -> bool:
@@ -156,6 +165,7 @@
         self._stated = False
         self._pool = Pool(announcement.address, self._adapter.request_id_header, self._memory)
         self._gate = Gate(self._clock, announcement.slots)
+        self.cold.adopt(announcement, self._gate.cold_limit, self._pool)
         self._apply_told()
 
     def deregister(self, target_id: str, born_ms: int = 0) -> bool:
@@ -169,6 +179,18 @@
             self._refuse_waiting(request.LEAVING)
         return left
 
+    def evacuate(self, evacuated: bool) -> None:
+        """Apply whether this data centre is evacuated; running requests go on."""
+        if evacuated == self.evacuated:
+            return
+        self.evacuated = evacuated
+        if evacuated:
+            self.cold.cancel()
+            self._refuse_waiting(request.EVACUATED)
+        else:
+            self.cold.evacuation_ended()
+        self._on_change()
+
     def _refuse_waiting(self, reason: Reason) -> None:
         if self._gate is not None:
             for waiter, refusal in self._gate.drain_queue(reason):
@@ -214,6 +236,7 @@
         """Close stale connections; returns whether the heartbeats have just timed out."""
         if self._pool is not None:
             self._pool.sweep()
+        self.cold.tick()
         now = self._clock.now()
         self._handed_before = {k: v for k, v in self._handed_before.items() if v > now}
         silent = now - self._last_heartbeat_at > HEARTBEAT_TIMEOUT_S
@@ -229,6 +252,8 @@
             return request.NO_TARGET
         if target.state != READY:
             return request.LEAVING
+        if self.evacuated:
+            return request.EVACUATED
         return request.STOPPING if self.stopping else None
 
     # Running.
@@ -242,7 +267,7 @@
         """
         refusal = self._refusal(run.service)
         if refusal is not None:
-            reply = not_run(refusal)
+            reply = not_run(refusal, self._refusal_retry_after_ms(refusal))
         else:
             assert self._gate is not None
             reply = await self._admit(self._gate, run)
@@ -263,11 +288,13 @@
             self._schedule_dispatch(gate)
             reason = await self._wait(gate, waiter, deadline)
             if reason is not None:
-                return not_run(reason, self._retry_after_ms(gate))
+                wait_ms = self._refusal_retry_after_ms(reason) or self._retry_after_ms(gate)
+                return not_run(reason, wait_ms)
         if gate is not self._gate or self._refusal(run.service) is not None:
             gate.abandon()
             self._dispatch(gate)
-            return not_run(self._refusal(run.service) or request.NO_TARGET)
+            refusal = self._refusal(run.service) or request.NO_TARGET
+            return not_run(refusal, self._refusal_retry_after_ms(refusal))
         if run.idempotent:
             return await self._hand_over(gate, run, deadline)
         task = asyncio.create_task(self._hand_over(gate, run, deadline))
@@ -299,30 +326,25 @@
         self.handed[kind] += 1
         self.running[run.request_id] = run
         ok = False
+        sending = gate.cold_limit.sending()
         try:
-            reply = await self._send(run, deadline)
+            reply = await self._send(run, deadline, sending)
             ok = reply.outcome == Outcome.ANSWERED and reply.status < 500
             return reply
         finally:
             self.running.pop(run.request_id, None)
+            sending.close()
             gate.finish(run.route, self._clock.now() - started, ok)
             self._dispatch(gate)
 
-    async def _send(self, run: Run, deadline: float) -> Reply:
+    async def _send(self, run: Run, deadline: float, sending: Sending) -> Reply:
         assert self._pool is not None and self._target is not None
         target, handed_at = self._target, self._clock.now()
         left_s = deadline - handed_at
         if left_s <= 0:
             return not_run(request.TOO_LATE)
         handover = Handover(target.target_id, max(1, int(left_s * 1000)))
-        size = b"Content-Length: %d\r\n" % len(run.body) if _has_body(run) else b""
-        data = b"%s %s HTTP/1.1\r\n%s%s%s\r\n" % (
-            run.method.encode("latin-1"),
-            run.path.encode("latin-1"),
-            run.head,
-            self._adapter.handover_headers(handover),
-            size,
-        )
+        data = request_head(run, self._adapter.handover_headers(handover))
         idle_s = 60.0 if run.idempotent else NON_IDEMPOTENT_MAX_IDLE_S
         handed_before = run.request_id in self._handed_before
         try:
@@ -334,6 +356,7 @@
                 run.method == "HEAD",
                 handed_before,
                 run.body,
+                sending,
             )
         except TargetUnreachedError:
             return not_run(request.TARGET_UNREACHED)
@@ -401,6 +424,12 @@
         if started_or_ended:
             self._on_change()
 
+    def _on_cold_change(self) -> None:
+        if self._gate is not None:
+            self._cancel_dispatch()
+            self._dispatch(self._gate)
+            self._on_change()
+
     def _leave(self, source: str) -> None:
         assert self._target is not None
         self._stated = True
@@ -414,16 +443,13 @@
 
     def inform(self, status: TargetStatus) -> None:
         """Apply what another node has heard of the target, before this node restarted."""
-        earlier = self._told.pop(status.incarnation, status)
-        self._told[status.incarnation] = status.stricter(earlier)
-        while len(self._told) > MAX_TOLD:
-            del self._told[next(iter(self._told))]
+        self._told.add(status)
         self._apply_told()
 
     def _apply_told(self) -> None:
         if self._target is None or self._gate is None:
             return
-        status = self._told.pop(self._target.incarnation(), None)
+        status = self._told.take(self._target.incarnation())
         if status is None:
             return
         before = self.rate_limit
@@ -453,7 +479,7 @@
         """Wake up when the target's limit allows the next queued request to start."""
         if gate is not self._gate or gate.queue.empty or self._dispatch_timer is not None:
             return
-        delay_s = gate.stated_limit.delay_s()
+        delay_s = gate.delay_s()
         if delay_s > 0.0:
             loop = asyncio.get_running_loop()
             self._dispatch_timer = loop.call_later(delay_s, self._dispatch_delayed, gate)
@@ -467,6 +493,10 @@
         self._dispatch_timer = None
         self._dispatch(gate)
 
+    @staticmethod
+    def _refusal_retry_after_ms(reason: Reason) -> int:
+        return EVACUATED_RETRY_AFTER_MS if reason is request.EVACUATED else 0
+
     @staticmethod
     def _retry_after_ms(gate: Gate[Waiter]) -> int:
         return max(MIN_RETRY_AFTER_MS, int(gate.wait_s() * 1000))
@@ -499,7 +529,3 @@
 def _expire(waiter: Waiter) -> None:
     if not waiter.done():
         waiter.set_result(request.TOO_LATE)
-
-
-def _has_body(run: Run) -> bool:
-    return bool(run.body) or run.method in ("POST", "PUT", "PATCH")
