Mesh: listener and server connection have modules of their own

http.py holds what services use (requests, responses, memory budgets), http_listener.py the address, http_connection.py one connection. No change of behaviour. A connection gets the service, the budget and the set of open connections in place of its listener, so that the modules do not import each other.

--- /dev/null
+++ b/beryldrum/mesh/http_connection.py
@@ -0,0 +1,306 @@
+"""A client's connection to the HTTP/1.1 server, with the parser of httptools.
+
+It adds the checks that a proxy needs: requests with ambiguous lengths or repeated
+singleton headers are rejected, headers and bodies are bounded, and the requests of a
+connection are answered in the order in which they arrive.
+"""
+
+import asyncio
+import time
+from collections import deque
+from typing import NamedTuple, cast
+
+import httptools
+
+from .http import (
+    HEADER_OVERHEAD_BYTES,
+    Header,
+    HttpRequest,
+    HttpResponse,
+    HttpService,
+    MemoryBudget,
+    report_exception,
+    status_line,
+    write_parts,
+)
+
+__all__ = ["ServerConnection"]
+
+SWEEP_INTERVAL_S = 1.0
+"""Interval between checks for idle connections."""
+
+MAX_PIPELINED = 16
+"""Pipelined requests queued on one connection before reading from it is paused."""
+
+
+class _RefusalError(Exception):
+    """A request is refused while it is being read."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class _QueuedRequest(NamedTuple):
+    """A complete request, whether the connection is kept, and the bytes reserved for it."""
+
+    http_request: HttpRequest
+    keep_alive: bool
+    reserved: int
+
+
+class ServerConnection(asyncio.Protocol):
+    """A client's connection. Its requests are answered in order, one at a time."""
+
+    def __init__(
+        self,
+        service: HttpService,
+        memory: MemoryBudget,
+        connections: "set[ServerConnection]",
+    ) -> None:
+        self._service = service
+        self._memory = memory
+        self._connections = connections
+        """The open connections of the listener."""
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: deque[_QueuedRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._refused = 0
+        self._paused = False
+        self._reserved = 0
+        """Bytes reserved in the memory budget for all requests of the connection."""
+        self.active_at = time.monotonic()
+        self._reset()
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._raw_headers: list[Header] = []
+        self._headers: dict[bytes, bytes] = {}
+        self._head_bytes = 0
+        self._limits = self._service.limits()
+        # One buffer, since a list of pieces can take many times the bytes received.
+        self._body = bytearray()
+        self._request_reserved = 0
+        """The part of the reserved bytes that belongs to the request that is being read."""
+        self._offers_upgrade = False
+        self.reading = False
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._connections.discard(self)
+        self._memory.release(self._reserved)
+        self._reserved = 0
+        self._queue.clear()
+        # The connection and its parser form a reference cycle.
+        self._reset()
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        if self._refused:
+            return
+        self.active_at = time.monotonic()
+        try:
+            while data:
+                data = self._parse(data)
+        except (httptools.HttpParserError, _RefusalError) as exc:
+            self._refuse(_refusal_status(exc))
+
+    def _parse(self, data: bytes) -> bytes:
+        """Parse bytes and return those that are still to be parsed.
+
+        The parser stops behind the headers of a request that offers another protocol, even
+        if a body follows. They are parsed again without the offer, which is ignored.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            head = self._head_without_upgrade()
+            self._release(self._request_reserved)
+            self._parser = httptools.HttpRequestParser(self)
+            return head + data[exc.args[0] :]
+        return b""
+
+    def _head_without_upgrade(self) -> bytes:
+        version = self._parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s" % (self._parser.get_method(), self._url, version)]
+        for low, name, value in self._raw_headers:
+            if low == b"upgrade":
+                continue
+            if low == b"connection":
+                options = [option.strip() for option in value.split(b",")]
+                value = b", ".join(o for o in options if o.lower() != b"upgrade")
+            lines.append(b"%s: %s" % (name, value))
+        return b"\r\n".join([*lines, b"", b""])
+
+    def _release(self, size: int) -> None:
+        self._memory.release(size)
+        self._reserved -= size
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        self._reset()
+        self.reading = True
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_head(len(name) + len(value) + 4)
+        self._reserve(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+        low = name.lower()
+        self._raw_headers.append((low, name, value))
+        if low in self._headers and low in self._service.singleton_headers:
+            raise _RefusalError(400)
+        self._headers[low] = value
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._limits.header_bytes:
+            raise _RefusalError(431)
+
+    def on_headers_complete(self) -> None:
+        headers = self._headers
+        self._offers_upgrade = self._parser.should_upgrade()
+        if self._offers_upgrade:
+            if self._parser.get_method() == b"CONNECT":
+                raise _RefusalError(400)
+            return
+        if b"content-length" in headers and b"transfer-encoding" in headers:
+            raise _RefusalError(400)
+        if headers.get(b"expect", b"").lower() == b"100-continue" and self._transport:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        if len(self._body) + len(body) > self._limits.body_bytes:
+            raise _RefusalError(413)
+        self._reserve(len(body))
+        self._body += body
+
+    def _reserve(self, size: int) -> None:
+        if not self._memory.reserve(size):
+            raise _RefusalError(503)
+        self._reserved += size
+        self._request_reserved += size
+
+    def on_message_complete(self) -> None:
+        if self._offers_upgrade:
+            return
+        http_request = HttpRequest(
+            self._parser.get_method().decode("latin-1"),
+            self._url.decode("latin-1"),
+            self._headers,
+            self._raw_headers,
+            bytes(self._body),
+        )
+        keep_alive, reserved = self._parser.should_keep_alive(), self._request_reserved
+        self._queue.append(_QueuedRequest(http_request, keep_alive, reserved))
+        self._reset()
+        if self._task is None:
+            self._serve_next()
+        elif len(self._queue) >= MAX_PIPELINED and self._transport:
+            self._paused = True
+            self._transport.pause_reading()
+
+    # Responses.
+
+    def _serve_next(self) -> None:
+        if not self._queue or self._transport is None:
+            return
+        self._task = asyncio.create_task(self._serve(self._queue.popleft()))
+
+    async def _serve(self, queued: _QueuedRequest) -> None:
+        http_request = queued.http_request
+        try:
+            response = await self._service.handle(http_request)
+        except asyncio.CancelledError:
+            return
+        except Exception as exc:
+            # It is not known whether the request has run.
+            report_exception(exc, "a request")
+            response = HttpResponse(500, close=True)
+        finally:
+            self._task = None
+            if self._transport is not None:
+                # Otherwise all was released when the connection was lost.
+                self._release(queued.reserved)
+        self.active_at = time.monotonic()
+        close = response.close or not queued.keep_alive or self._service.closing()
+        self._write(response, close, http_request.method == "HEAD")
+        if not close and self._transport and self._queue:
+            if self._paused:
+                self._paused = False
+                self._transport.resume_reading()
+            self._serve_next()
+        if self._refused and not self._queue:
+            self._refuse(self._refused)
+
+    def _write(self, response: HttpResponse, close: bool, head_only: bool = False) -> None:
+        if self._transport is None:
+            return
+        status = response.status
+        head = b"%s%sContent-Length: %d\r\n%s\r\n" % (
+            status_line(status),
+            response.head,
+            len(response.body),
+            b"Connection: close\r\n" if close else b"",
+        )
+        write_parts(self._transport, head, b"" if head_only else response.body)
+        if close:
+            self._queue.clear()
+            self._transport.close()
+
+    def _refuse(self, status: int) -> None:
+        # Complete requests that were read earlier are answered first.
+        self._refused = status
+        if self._task is None:
+            head = b"Retry-After: 1\r\n" if status == 503 else b""
+            self._write(HttpResponse(status, head), close=True)
+
+    # Time limits.
+
+    def sweep(self, now: float) -> None:
+        """Close the connection if its idle time or its time for sending headers is over."""
+        limits = self._service.limits()
+        if self._task is not None or self._queue:
+            return
+        if (
+            self.reading
+            and now - self.active_at > limits.header_s + SWEEP_INTERVAL_S
+            and not self._body
+        ):
+            self._refuse(408)
+        elif now - self.active_at > limits.idle_s + SWEEP_INTERVAL_S:
+            self.close()
+
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes of answers that the client has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._task is None and not self._queue and not self.reading
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+def _refusal_status(exc: Exception) -> int:
+    cause: BaseException | None = exc
+    while cause is not None:
+        if isinstance(cause, _RefusalError):
+            return cause.status
+        cause = cause.__cause__ or cause.__context__
+    return 400
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -48,14 +48,8 @@
 from .gate import CALL_PRIORITY, call_priority
 from .graph import CallGraph
 from .homes import RateHomes
-from .http import (
-    HttpListener,
-    HttpRequest,
-    HttpResponse,
-    HttpService,
-    MemoryBudget,
-    report_exception,
-)
+from .http import HttpRequest, HttpResponse, HttpService, MemoryBudget, report_exception
+from .http_listener import HttpListener
 from .links import Link, LinkHandler, LinkProtocol, listen
 from .load_balancer import LoadBalancer
 from .local_target import LocalTarget
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -657,7 +657,7 @@
     ),
     Mutant(
         "mesh: an offered upgrade is ignored",
-        "mesh/http.py",
+        "mesh/http_connection.py",
         "            return head + data[exc.args[0] :]\n",
         "            return data[exc.args[0] :]\n",
         "tests/test_mesh_requests.py::UpgradeTest",
--- a/tests/test_mesh_memory.py
+++ b/tests/test_mesh_memory.py
@@ -13,7 +13,8 @@
 from beryldrum.mesh import client, frames
 from beryldrum.mesh.client import ClientConnection
 from beryldrum.mesh.document import Limits
-from beryldrum.mesh.http import HttpListener, HttpResponse, HttpService, MemoryBudget
+from beryldrum.mesh.http import HttpResponse, HttpService, MemoryBudget
+from beryldrum.mesh.http_listener import HttpListener
 from beryldrum.mesh.links import LinkHandler, LinkProtocol
 
 BUDGET_BYTES = 2**20
