Mesh: pipelined requests run concurrently and are answered in order

The requests of a connection ran one after another, so that a client which sends five requests of 650 ms in one packet had the last one answered after 3.3 s. Requests that may run twice now run beside each other, at most 16 of a connection; the service says which ones (HttpService.may_run_ahead, the entry by the route). What may run only once waits until all before it are answered. Responses that are held back count towards the memory budget, and nothing runs ahead when half of that is in use. A response that closes the connection cancels what is behind it; a planned stop first answers what runs.

A request on its own takes no further task or future.

--- a/beryldrum/mesh/entry.py
+++ b/beryldrum/mesh/entry.py
@@ -416,6 +416,11 @@
         """The tasks of the requests in progress."""
         self._ending = False
 
+    def may_run_ahead(self, http_request: HttpRequest) -> bool:
+        doc, metadata = self._configuration.document, self._adapter.parse_request(http_request)
+        route = doc.route(metadata.host, metadata.path) if doc and metadata else None
+        return route is not None and route.idempotent
+
     def limits(self) -> Limits:
         return self._configuration.document.limits if self._configuration.document else Limits()
 
--- a/beryldrum/mesh/http.py
+++ b/beryldrum/mesh/http.py
@@ -99,6 +99,13 @@
     singleton_headers: frozenset[bytes] = SINGLETON_HEADERS
     """Lower-case names of the headers that a request may have only once."""
 
+    def may_run_ahead(self, http_request: HttpRequest) -> bool:
+        """Tell whether a request may run before the requests before it are answered.
+
+        It may then be cancelled and sent again, so it has to be idempotent.
+        """
+        return False
+
     def limits(self) -> Limits:
         """Return the current limits on requests."""
         return Limits()
@@ -122,6 +129,15 @@
         self.reserved += size
         return True
 
+    def charge(self, size: int) -> None:
+        """Reserve ``size`` bytes that are held already, beyond the limit if need be."""
+        self.reserved += size
+
+    @property
+    def scarce(self) -> bool:
+        """Whether half of the budget is in use."""
+        return self.reserved * 2 > self._limit
+
     def release(self, size: int) -> None:
         """Release ``size`` reserved bytes."""
         self.reserved -= size
--- a/beryldrum/mesh/http_connection.py
+++ b/beryldrum/mesh/http_connection.py
@@ -3,12 +3,15 @@
 It adds the checks that a proxy needs: requests with ambiguous lengths or repeated
 singleton headers are rejected, headers and bodies are bounded, and the requests of a
 connection are answered in the order in which they arrive.
+
+Pipelined requests run concurrently as far as the service allows. The responses of those
+that end early are held back until the responses before them have been written.
 """
 
 import asyncio
 import time
 from collections import deque
-from typing import NamedTuple, cast
+from typing import cast
 
 import httptools
 
@@ -32,6 +35,10 @@
 MAX_PIPELINED = 16
 """Pipelined requests queued on one connection before reading from it is paused."""
 
+MAX_CONCURRENT = 16
+"""Requests of one connection that run or whose responses are held back. Each may hold a
+complete response, which is why there is a bound."""
+
 
 class _RefusalError(Exception):
     """A request is refused while it is being read."""
@@ -41,16 +48,28 @@
         self.status = status
 
 
-class _QueuedRequest(NamedTuple):
-    """A complete request, whether the connection is kept, and the bytes reserved for it."""
+class _Exchange:
+    """A complete request and, when that is known, its response."""
 
-    http_request: HttpRequest
-    keep_alive: bool
-    reserved: int
+    __slots__ = ("http_request", "keep_alive", "reserved", "response", "runs_ahead", "task")
+
+    def __init__(self, http_request: HttpRequest, keep_alive: bool, reserved: int) -> None:
+        self.http_request = http_request
+        self.keep_alive = keep_alive
+        self.reserved = reserved
+        """Bytes reserved in the memory budget for the request or its response."""
+        self.response: HttpResponse | None = None
+        self.runs_ahead = False
+        """Whether it was started before the requests before it were answered."""
+        self.task: asyncio.Task[None] | None = None
 
 
 class ServerConnection(asyncio.Protocol):
-    """A client's connection. Its requests are answered in order, one at a time."""
+    """A client's connection. Its requests are answered in order.
+
+    Requests run concurrently only if the service allows it for all of them, so one that may
+    run only once is not started while a response before it might close the connection.
+    """
 
     def __init__(
         self,
@@ -64,8 +83,10 @@
         """The open connections of the listener."""
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queue: deque[_QueuedRequest] = deque()
-        self._task: asyncio.Task[None] | None = None
+        self._queue: deque[_Exchange] = deque()
+        """Requests that have not been started."""
+        self._started: deque[_Exchange] = deque()
+        """Requests that run, or whose responses are held back."""
         self._refused = 0
         self._paused = False
         self._reserved = 0
@@ -95,13 +116,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._connections.discard(self)
-        self._memory.release(self._reserved)
-        self._reserved = 0
-        self._queue.clear()
-        # The connection and its parser form a reference cycle.
-        self._reset()
-        if self._task is not None:
-            self._task.cancel()
+        self._discard_requests()
 
     def data_received(self, data: bytes) -> None:
         if self._refused:
@@ -203,45 +218,95 @@
             bytes(self._body),
         )
         keep_alive, reserved = self._parser.should_keep_alive(), self._request_reserved
-        self._queue.append(_QueuedRequest(http_request, keep_alive, reserved))
+        exchange = _Exchange(http_request, keep_alive, reserved)
         self._reset()
-        if self._task is None:
-            self._serve_next()
-        elif len(self._queue) >= MAX_PIPELINED and self._transport:
+        if not self._started:
+            self._start(exchange)
+            return
+        self._queue.append(exchange)
+        self._start_queued()
+        if len(self._queue) >= MAX_PIPELINED and self._transport:
             self._paused = True
             self._transport.pause_reading()
 
     # Responses.
 
-    def _serve_next(self) -> None:
-        if not self._queue or self._transport is None:
+    def _start(self, exchange: _Exchange) -> None:
+        if self._transport is None:
             return
-        self._task = asyncio.create_task(self._serve(self._queue.popleft()))
+        self._started.append(exchange)
+        exchange.task = asyncio.create_task(self._serve(exchange))
+
+    def _start_queued(self) -> None:
+        """Start the queued requests that may run now, in their order."""
+        while self._queue and len(self._started) < MAX_CONCURRENT:
+            if self._started and not self._may_run_ahead(self._queue[0]):
+                break
+            self._start(self._queue.popleft())
+
+    def _may_run_ahead(self, exchange: _Exchange) -> bool:
+        """Tell whether a request may run beside those that are started."""
+        last = self._started[-1]
+        if not last.keep_alive or self._memory.scarce or self._service.closing():
+            return False
+        may_run_ahead = self._service.may_run_ahead
+        # Those behind the first one were asked about when they were started.
+        exchange.runs_ahead = may_run_ahead(exchange.http_request) and (
+            last.runs_ahead or may_run_ahead(last.http_request)
+        )
+        return exchange.runs_ahead
 
-    async def _serve(self, queued: _QueuedRequest) -> None:
-        http_request = queued.http_request
+    async def _serve(self, exchange: _Exchange) -> None:
         try:
-            response = await self._service.handle(http_request)
+            response = await self._service.handle(exchange.http_request)
         except asyncio.CancelledError:
+            if exchange in self._started:
+                # Not by the client's leaving; without an answer no other may follow.
+                self.close()
             return
         except Exception as exc:
             # It is not known whether the request has run.
             report_exception(exc, "a request")
             response = HttpResponse(500, close=True)
-        finally:
-            self._task = None
-            if self._transport is not None:
-                # Otherwise all was released when the connection was lost.
-                self._release(queued.reserved)
         self.active_at = time.monotonic()
-        close = response.close or not queued.keep_alive or self._service.closing()
-        self._write(response, close, http_request.method == "HEAD")
-        if not close and self._transport and self._queue:
-            if self._paused:
+        if self._transport is None or not self._started:
+            # The client has gone, or an earlier response has closed the connection.
+            return
+        exchange.response = response
+        if exchange is self._started[0]:
+            self._write_responses()
+        else:
+            self._hold(exchange, response)
+
+    def _hold(self, exchange: _Exchange, response: HttpResponse) -> None:
+        """Keep a response, in memory in place of its request, until those before it end."""
+        exchange.http_request = exchange.http_request._replace(headers={}, raw_headers=[], body=b"")
+        self._release(exchange.reserved)
+        exchange.reserved = len(response.head) + len(response.body)
+        self._memory.charge(exchange.reserved)
+        self._reserved += exchange.reserved
+
+    def _write_responses(self) -> None:
+        """Write the responses that come next, as far as they are known, and go on."""
+        started = self._started
+        while started and started[0].response is not None:
+            exchange = started.popleft()
+            response = exchange.response
+            assert response is not None
+            self._release(exchange.reserved)
+            close = response.close or not exchange.keep_alive
+            if self._service.closing() and not started:
+                # Requests that have been passed on are answered before that.
+                close = True
+            self._write(response, close, exchange.http_request.method == "HEAD")
+            if close:
+                return
+        if self._queue:
+            self._start_queued()
+            if self._paused and len(self._queue) < MAX_PIPELINED and self._transport:
                 self._paused = False
                 self._transport.resume_reading()
-            self._serve_next()
-        if self._refused and not self._queue:
+        if self._refused and not self._started:
             self._refuse(self._refused)
 
     def _write(self, response: HttpResponse, close: bool, head_only: bool = False) -> None:
@@ -256,13 +321,25 @@
         )
         write_parts(self._transport, head, b"" if head_only else response.body)
         if close:
-            self._queue.clear()
+            # The client takes the requests behind this response for not read.
             self._transport.close()
+            self._discard_requests()
+
+    def _discard_requests(self) -> None:
+        """Cancel the requests in progress and release what is held for all requests."""
+        self._queue.clear()
+        started, self._started = self._started, deque()
+        for exchange in started:
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._release(self._reserved)
+        # The connection and its parser form a reference cycle.
+        self._reset()
 
     def _refuse(self, status: int) -> None:
         # Complete requests that were read earlier are answered first.
         self._refused = status
-        if self._task is None:
+        if not self._started:
             head = b"Retry-After: 1\r\n" if status == 503 else b""
             self._write(HttpResponse(status, head), close=True)
 
@@ -271,7 +348,7 @@
     def sweep(self, now: float) -> None:
         """Close the connection if its idle time or its time for sending headers is over."""
         limits = self._service.limits()
-        if self._task is not None or self._queue:
+        if self._started:
             return
         if (
             self.reading
@@ -289,7 +366,7 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
-        return self._task is None and not self._queue and not self.reading
+        return not self._started and not self.reading
 
     def close(self) -> None:
         """Close the connection."""
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -50,6 +50,7 @@
 ODD_INPUT = "tests/test_mesh_odd_input.py::"
 ZONES = "tests/test_mesh_zone_share.py::"
 RESIDENCY = "tests/test_mesh_residency.py::"
+PIPELINING = "tests/test_mesh_pipelining.py::PipeliningTest::"
 DEPARTURES = "tests/test_mesh_departures.py::"
 MUTANTS = (
     Mutant(
@@ -908,6 +909,41 @@
         'hops.append(Hop(address, ""))',
         ZONES + "LineTest",
     ),
+    Mutant(
+        "mesh: what may run only once waits for the answers before it",
+        "mesh/http_connection.py",
+        "            if self._started and not self._may_run_ahead(self._queue[0]):\n",
+        "            if False:\n",
+        PIPELINING + "test_a_request_that_may_run_once_waits_for_all_answers_before_it",
+    ),
+    Mutant(
+        "mesh: requests behind an answer that closes are cancelled",
+        "mesh/http_connection.py",
+        "            self._transport.close()\n            self._discard_requests()\n",
+        "            self._transport.close()\n",
+        PIPELINING + "test_requests_behind_an_answer_that_closes_run_or_are_answered",
+    ),
+    Mutant(
+        "mesh: a stop answers the pipelined requests that run",
+        "mesh/http_connection.py",
+        "            if self._service.closing() and not started:\n",
+        "            if self._service.closing():\n",
+        PIPELINING + "test_a_stop_loses_requests_that_have_been_passed_on",
+    ),
+    Mutant(
+        "mesh: answers keep the order of pipelined requests",
+        "mesh/http_connection.py",
+        "        if exchange is self._started[0]:\n",
+        "        if self._started.remove(exchange) or not self._started.appendleft(exchange):\n",
+        PIPELINING + "test_answers_keep_the_order_of_their_requests",
+    ),
+    Mutant(
+        "mesh: answers that are held back count towards the memory",
+        "mesh/http_connection.py",
+        "        exchange.reserved = len(response.head) + len(response.body)\n",
+        "        exchange.reserved = 0\n",
+        PIPELINING + "test_answers_that_are_held_back_are_not_counted",
+    ),
 )
 
 
