Mesh: heads and empty lines without end count towards the limit on heads

The parser keeps a header until it is complete and drops empty lines without a callback, so that neither was counted: 24 clients that sent 4 MiB of a header each made a node take 141 to 150 MB of the 96 that it had, and clients that sent empty lines stayed connected for good. The connection now counts the bytes that it has received since the last complete part of a request.

--- a/beryldrum/mesh/http_connection.py
+++ b/beryldrum/mesh/http_connection.py
@@ -35,6 +35,10 @@
 MAX_PIPELINED = 16
 """Pipelined requests queued on one connection before reading from it is paused."""
 
+HEAD_SLACK_BYTES = 1_024
+"""Bytes of a head in addition to those that count towards its limit: the method, the version
+and line ends."""
+
 MAX_CONCURRENT = 16
 """Requests of one connection that run or whose responses are held back. Each may hold a
 complete response, which is why there is a bound."""
@@ -100,6 +104,9 @@
         self._headers: dict[bytes, bytes] = {}
         self._head_bytes = 0
         self._limits = self._service.limits()
+        self._silent_bytes = 0
+        """Bytes received since the last part of a request that was complete. The parser keeps
+        a header, and drops empty lines, without telling."""
         # One buffer, since a list of pieces can take many times the bytes received.
         self._body = bytearray()
         self._request_reserved = 0
@@ -122,9 +129,12 @@
         if self._refused:
             return
         self.active_at = time.monotonic()
+        self._silent_bytes += len(data)
         try:
             while data:
                 data = self._parse(data)
+            if self._silent_bytes > self._limits.header_bytes + HEAD_SLACK_BYTES:
+                raise _RefusalError(431)
         except (httptools.HttpParserError, _RefusalError) as exc:
             self._refuse(_refusal_status(exc))
 
@@ -185,6 +195,7 @@
 
     def on_headers_complete(self) -> None:
         headers = self._headers
+        self._silent_bytes = 0
         self._offers_upgrade = self._parser.should_upgrade()
         if self._offers_upgrade:
             if self._parser.get_method() == b"CONNECT":
@@ -198,6 +209,7 @@
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > self._limits.body_bytes:
             raise _RefusalError(413)
+        self._silent_bytes = 0
         self._reserve(len(body))
         self._body += body
 
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -944,6 +944,13 @@
         "        exchange.reserved = 0\n",
         PIPELINING + "test_answers_that_are_held_back_are_not_counted",
     ),
+    Mutant(
+        "mesh: a head counts while its parts are not complete",
+        "mesh/http_connection.py",
+        "            if self._silent_bytes > self._limits.header_bytes + HEAD_SLACK_BYTES:\n",
+        "            if False:\n",
+        "tests/test_mesh_client_limits.py::HeadLimitTest",
+    ),
 )
 
 
