Mesh: one memory budget for what clients make a node hold, and a bound on connections

Responses that clients do not read were not counted: 16 slow readers made a node take 169 to 171 MB of 96, pipelined requests 261 to 263 MB. Connections were accepted up to the descriptors of the host (520 of 400), and a body of 64 MiB on a host of 200 MB was always refused, as requests had a quarter of the memory.

One budget now follows from memory_mb (mesh/memory.py) and counts unfinished and queued requests, held and unsent responses, answers of the target and connections. When it is short the least worth client is given up (mesh/shedding.py): stalled ones first, then the one that has sent or taken least of what was promised, never one whose request is merely running. No further request of a connection is started while its responses are not read; one that takes nothing for the idle time is disconnected. Callers may use three quarters of the descriptors that are not reserved for files; beyond that, idle connections are closed for new ones.

Large bodies are not copied any more when they are complete, frames of large bodies are allocated at once, and the memory of large blocks goes back to the system when they are freed. A time-out no longer keeps the body in a reference cycle. The stand-in target joined pieces of a body in quadratic time, so that one of 64 MiB ran into the deadline.

--- a/beryldrum/mesh/client.py
+++ b/beryldrum/mesh/client.py
@@ -13,7 +13,7 @@
 
 from ..errors import AnswerLostError, TargetUnreachedError
 from .deadlines import Deadlines
-from .http import HEADER_OVERHEAD_BYTES, Header, MemoryBudget, write_parts
+from .http import HEADER_OVERHEAD_BYTES, LARGE_BODY_BYTES, Header, MemoryBudget, write_parts
 
 __all__ = ["Pool", "Response"]
 
@@ -157,6 +157,8 @@
         return False
 
     def _reserve(self, size: int) -> bool:
+        # A buffer that grows reserves an eighth in advance.
+        size = size * 9 // 8
         if self._memory is not None and not self._memory.reserve(size):
             return False
         self._reserved += size
@@ -251,7 +253,9 @@
         self.used_at = time.monotonic()
         if fut is not None and not fut.done():
             status = self._parser.get_status_code()
-            body = bytes(self._body)
+            # A large body is not copied; nothing changes it any more.
+            large = len(self._body) >= LARGE_BODY_BYTES
+            body = cast(bytes, self._body) if large else bytes(self._body)
             fut.set_result(Response(status, self._raw_headers, self._headers, body))
         self._reset()
 
@@ -325,6 +329,9 @@
             raise
         finally:
             deadline.clear()
+            # An exception refers to this frame, and the future to the exception; the body
+            # would stay in memory until the collector runs.
+            del fut
         if conn.reusable and conn.open:
             self._idle.append(conn)
         else:
--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -45,6 +45,12 @@
 MAX_FRAME_BYTES = 72 * 2**20
 """Size limit of a frame: the largest body that a document may allow, and its headers."""
 
+FIELD_BYTES = 65_536
+"""More than the fields of a message beside a body take."""
+
+LARGE_BODY_BYTES = 262_144
+"""Size of a body from which the buffer of its frame is allocated at once."""
+
 LENGTH = struct.Struct(">I")
 
 
@@ -322,7 +328,9 @@
 
 def encode_buffer(message: Message) -> bytearray:
     """Return the frame of ``message`` without another copy of its body."""
-    buffer = bytearray(LENGTH.size)
+    size = len(message.body) if isinstance(message, Run | Reply) else 0
+    # A buffer that is grown while it is filled takes up to half as much again.
+    buffer = bytearray(LENGTH.size + (size + FIELD_BYTES if size >= LARGE_BODY_BYTES else 0))
     _encoder.encode_into(message, buffer, LENGTH.size)
     LENGTH.pack_into(buffer, 0, len(buffer) - LENGTH.size)
     return buffer
--- a/beryldrum/mesh/http.py
+++ b/beryldrum/mesh/http.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .document import Limits
@@ -116,27 +117,49 @@
 
 
 class MemoryBudget:
-    """Bounds the bytes of requests, or of answers, that are in memory at once."""
+    """Bounds the bytes that other processes make this one hold.
+
+    ``on_shortage`` is called when the limit would be exceeded, with the bytes that are
+    missing and the object on whose behalf they are needed. It may release some.
+    """
 
     def __init__(self, limit: int) -> None:
-        self._limit = limit
+        self.limit = limit
         self.reserved = 0
+        self.on_shortage: Callable[[int, object], None] = lambda _missing, _requester: None
+        self._making_room = False
 
-    def reserve(self, size: int) -> bool:
+    def reserve(self, size: int, requester: object = None) -> bool:
         """Reserve ``size`` bytes; returns False if that would exceed the limit."""
-        if self.reserved + size > self._limit:
-            return False
+        if self.reserved + size > self.limit:
+            if size > self.limit:
+                return False
+            self._make_room(self.reserved + size - self.limit, requester)
+            if self.reserved + size > self.limit:
+                return False
         self.reserved += size
         return True
 
     def charge(self, size: int) -> None:
         """Reserve ``size`` bytes that are held already, beyond the limit if need be."""
         self.reserved += size
+        if self.reserved > self.limit and size > 0:
+            self._make_room(self.reserved - self.limit, None)
+
+    def _make_room(self, missing: int, requester: object) -> None:
+        if self._making_room:
+            # What is counted while clients are compared is part of the same shortage.
+            return
+        self._making_room = True
+        try:
+            self.on_shortage(missing, requester)
+        finally:
+            self._making_room = False
 
     @property
     def scarce(self) -> bool:
         """Whether half of the budget is in use."""
-        return self.reserved * 2 > self._limit
+        return self.reserved * 2 > self.limit
 
     def release(self, size: int) -> None:
         """Release ``size`` reserved bytes."""
--- a/beryldrum/mesh/http_connection.py
+++ b/beryldrum/mesh/http_connection.py
@@ -17,6 +17,7 @@
 
 from .http import (
     HEADER_OVERHEAD_BYTES,
+    LARGE_BODY_BYTES,
     Header,
     HttpRequest,
     HttpResponse,
@@ -26,6 +27,7 @@
     status_line,
     write_parts,
 )
+from .shedding import Client, Clients, Standing
 
 __all__ = ["ServerConnection"]
 
@@ -39,6 +41,15 @@
 """Bytes of a head in addition to those that count towards its limit: the method, the version
 and line ends."""
 
+CONNECTION_BYTES = 4_096
+"""Memory that a connection takes without a request. Some 2 to 3 KB were measured."""
+
+QUEUED_REQUEST_BYTES = 1_536
+"""Memory that a queued request takes in addition to its headers and body."""
+
+MAX_UNCOUNTED_BYTES = 4_096
+"""Size of the write buffer up to which it does not count as memory."""
+
 MAX_CONCURRENT = 16
 """Requests of one connection that run or whose responses are held back. Each may hold a
 complete response, which is why there is a bound."""
@@ -68,7 +79,7 @@
         self.task: asyncio.Task[None] | None = None
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol, Client):
     """A client's connection. Its requests are answered in order.
 
     Requests run concurrently only if the service allows it for all of them, so one that may
@@ -76,15 +87,11 @@
     """
 
     def __init__(
-        self,
-        service: HttpService,
-        memory: MemoryBudget,
-        connections: "set[ServerConnection]",
+        self, service: HttpService, memory: MemoryBudget, clients: "Clients[ServerConnection]"
     ) -> None:
         self._service = service
         self._memory = memory
-        self._connections = connections
-        """The open connections of the listener."""
+        self._clients = clients
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._queue: deque[_Exchange] = deque()
@@ -95,6 +102,18 @@
         self._paused = False
         self._reserved = 0
         """Bytes reserved in the memory budget for all requests of the connection."""
+        self._unsent = 0
+        """Bytes of responses in the write buffer when it was last looked at."""
+        self._backlog = 0
+        """Bytes of the responses since the client last kept up with them."""
+        self._counted = 0
+        """Bytes of the memory budget in use for the write buffer."""
+        self._write_paused = False
+        """Whether the client takes responses more slowly than they come."""
+        self._taken_at = 0.0
+        """When the client last took bytes of the write buffer."""
+        self._used = False
+        """Whether the client has sent a complete request."""
         self.active_at = time.monotonic()
         self._reset()
 
@@ -118,13 +137,31 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        self._connections.add(self)
+        self._memory.charge(CONNECTION_BYTES)
+        if not self._clients.add(self):
+            self._transport.abort()
+            return
+        self._transport.set_write_buffer_limits(high=MAX_UNCOUNTED_BYTES)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        self._connections.discard(self)
+        self._clients.discard(self)
+        self._memory.release(CONNECTION_BYTES + self._counted)
+        self._counted = self._unsent = 0
         self._discard_requests()
 
+    def pause_writing(self) -> None:
+        self._write_paused = True
+        self._taken_at = time.monotonic()
+        self._count_unsent()
+
+    def resume_writing(self) -> None:
+        self._write_paused = False
+        self._count_unsent()
+        if not self._closing():
+            self._start_queued()
+            self._resume_reading()
+
     def data_received(self, data: bytes) -> None:
         if self._refused:
             return
@@ -165,6 +202,23 @@
             lines.append(b"%s: %s" % (name, value))
         return b"\r\n".join([*lines, b"", b""])
 
+    def _closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
+    def _count_unsent(self) -> None:
+        """Count what is in the write buffer towards the memory budget."""
+        before, self._unsent = self._unsent, self.unsent_bytes()
+        if self._unsent < before:
+            self._taken_at = time.monotonic()
+        if self._write_paused:
+            self._backlog = max(self._backlog, self._unsent)
+        else:
+            self._backlog = self._unsent
+        # The transport keeps a response whole until its last byte is taken, with what a
+        # buffer that grew has reserved in advance.
+        counted, self._counted = self._counted, self._backlog * 9 // 8
+        self._memory.charge(self._counted - counted)
+
     def _release(self, size: int) -> None:
         self._memory.release(size)
         self._reserved -= size
@@ -210,11 +264,12 @@
         if len(self._body) + len(body) > self._limits.body_bytes:
             raise _RefusalError(413)
         self._silent_bytes = 0
-        self._reserve(len(body))
+        # A buffer that grows reserves an eighth in advance.
+        self._reserve(len(body) * 9 // 8)
         self._body += body
 
     def _reserve(self, size: int) -> None:
-        if not self._memory.reserve(size):
+        if not self._memory.reserve(size, self):
             raise _RefusalError(503)
         self._reserved += size
         self._request_reserved += size
@@ -227,14 +282,19 @@
             self._url.decode("latin-1"),
             self._headers,
             self._raw_headers,
-            bytes(self._body),
+            # A large body is not copied; nothing changes it any more.
+            bytes(self._body) if len(self._body) < LARGE_BODY_BYTES else cast(bytes, self._body),
         )
         keep_alive, reserved = self._parser.should_keep_alive(), self._request_reserved
         exchange = _Exchange(http_request, keep_alive, reserved)
         self._reset()
-        if not self._started:
+        self._used = True
+        if not self._started and not self._write_paused:
             self._start(exchange)
             return
+        exchange.reserved += QUEUED_REQUEST_BYTES
+        self._reserve(QUEUED_REQUEST_BYTES)
+        self._request_reserved = 0
         self._queue.append(exchange)
         self._start_queued()
         if len(self._queue) >= MAX_PIPELINED and self._transport:
@@ -251,7 +311,7 @@
 
     def _start_queued(self) -> None:
         """Start the queued requests that may run now, in their order."""
-        while self._queue and len(self._started) < MAX_CONCURRENT:
+        while self._queue and len(self._started) < MAX_CONCURRENT and not self._write_paused:
             if self._started and not self._may_run_ahead(self._queue[0]):
                 break
             self._start(self._queue.popleft())
@@ -295,19 +355,19 @@
         exchange.http_request = exchange.http_request._replace(headers={}, raw_headers=[], body=b"")
         self._release(exchange.reserved)
         exchange.reserved = len(response.head) + len(response.body)
-        self._memory.charge(exchange.reserved)
         self._reserved += exchange.reserved
+        self._memory.charge(exchange.reserved)
 
     def _write_responses(self) -> None:
         """Write the responses that come next, as far as they are known, and go on."""
-        started = self._started
-        while started and started[0].response is not None:
-            exchange = started.popleft()
+        # A client that does not read may be given up while its responses are written.
+        while self._started and self._started[0].response is not None:
+            exchange = self._started.popleft()
             response = exchange.response
             assert response is not None
             self._release(exchange.reserved)
             close = response.close or not exchange.keep_alive
-            if self._service.closing() and not started:
+            if self._service.closing() and not self._started:
                 # Requests that have been passed on are answered before that.
                 close = True
             self._write(response, close, exchange.http_request.method == "HEAD")
@@ -315,14 +375,17 @@
                 return
         if self._queue:
             self._start_queued()
-            if self._paused and len(self._queue) < MAX_PIPELINED and self._transport:
-                self._paused = False
-                self._transport.resume_reading()
-        if self._refused and not self._started:
+            self._resume_reading()
+        if self._refused and not self._started and not self._queue:
             self._refuse(self._refused)
 
+    def _resume_reading(self) -> None:
+        if self._paused and len(self._queue) < MAX_PIPELINED and self._transport:
+            self._paused = False
+            self._transport.resume_reading()
+
     def _write(self, response: HttpResponse, close: bool, head_only: bool = False) -> None:
-        if self._transport is None:
+        if self._transport is None or self._transport.is_closing():
             return
         status = response.status
         head = b"%s%sContent-Length: %d\r\n%s\r\n" % (
@@ -331,7 +394,12 @@
             len(response.body),
             b"Connection: close\r\n" if close else b"",
         )
-        write_parts(self._transport, head, b"" if head_only else response.body)
+        body = b"" if head_only else response.body
+        size = len(head) + len(body)
+        self._backlog = self._backlog + size if self._write_paused else size
+        write_parts(self._transport, head, body)
+        if self._write_paused:
+            self._count_unsent()
         if close:
             # The client takes the requests behind this response for not read.
             self._transport.close()
@@ -351,7 +419,7 @@
     def _refuse(self, status: int) -> None:
         # Complete requests that were read earlier are answered first.
         self._refused = status
-        if not self._started:
+        if not self._started and not self._queue and not self._closing():
             head = b"Retry-After: 1\r\n" if status == 503 else b""
             self._write(HttpResponse(status, head), close=True)
 
@@ -360,7 +428,13 @@
     def sweep(self, now: float) -> None:
         """Close the connection if its idle time or its time for sending headers is over."""
         limits = self._service.limits()
-        if self._started:
+        if self._unsent or self._closing():
+            self._count_unsent()
+            moved_at = max(self._taken_at, self.active_at)
+            if self.unsent_bytes() and now - moved_at > limits.idle_s + SWEEP_INTERVAL_S:
+                # It is not there any more, or will not read.
+                self._abort()
+        if self._started or self._queue or self._closing():
             return
         if (
             self.reading
@@ -378,10 +452,54 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being read or answered."""
-        return not self._started and not self.reading
+        return not self._started and not self._queue and not self.reading
+
+    # What it is worth to keep the client.
+
+    def standing(self, now: float) -> Standing | None:
+        if self._unsent:
+            self._count_unsent()
+        if self._unsent:
+            # The pause of the writes tells that the client does not keep up.
+            taken = 1 - self._unsent / max(self._backlog, self._unsent)
+            return Standing(self._counted + self._reserved, now - self._taken_at, taken)
+        if not self.reading or self._refused or self._closing():
+            return None
+        promised = self._headers.get(b"content-length", b"")
+        expected = int(promised) if promised.isdigit() else self._limits.body_bytes
+        kept = len(self._body) / max(1, expected)
+        return Standing(self._request_reserved, now - self.active_at, kept)
+
+    def shed(self) -> None:
+        if self._unsent:
+            self._abort()
+            return
+        self._release(self._request_reserved)
+        self._reset()
+        self._refuse(503)
+
+    def idle_since(self) -> tuple[bool, float] | None:
+        if self._started or self._queue:
+            return None
+        return self._used, self.active_at
+
+    def evict(self) -> None:
+        if self._unsent:
+            self._abort()
+        else:
+            self.close()
+
+    def _abort(self) -> None:
+        """Close the connection without its unsent responses, and release their memory."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._memory.release(self._counted)
+        self._counted = self._unsent = self._backlog = 0
+        self._write_paused = False
+        self._discard_requests()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection after its write buffer has been flushed."""
         if self._transport is not None:
             self._transport.close()
 
--- a/beryldrum/mesh/http_listener.py
+++ b/beryldrum/mesh/http_listener.py
@@ -5,17 +5,23 @@
 
 from .http import HttpService, MemoryBudget
 from .http_connection import ServerConnection
+from .shedding import Clients
 
 __all__ = ["HttpListener"]
 
 
 class HttpListener:
-    """A listening address and the connections accepted on it."""
+    """A listening address and the connections accepted on it.
 
-    def __init__(self, service: HttpService, memory: MemoryBudget) -> None:
+    With ``max_connections``, idle connections are closed for new ones beyond that number.
+    """
+
+    def __init__(
+        self, service: HttpService, memory: MemoryBudget, max_connections: int | None = None
+    ) -> None:
         self.service = service
         self.memory = memory
-        self.connections: set[ServerConnection] = set()
+        self.connections: Clients[ServerConnection] = Clients(max_connections)
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -37,7 +43,7 @@
     def sweep(self) -> None:
         """Close the connections whose time limits are exceeded."""
         now = time.monotonic()
-        for conn in list(self.connections):
+        for conn in self.connections:
             conn.sweep(now)
 
     def unsent_bytes(self) -> int:
@@ -46,7 +52,7 @@
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
-        for conn in list(self.connections):
+        for conn in self.connections:
             if conn.idle:
                 conn.close()
 
--- a/beryldrum/mesh/links.py
+++ b/beryldrum/mesh/links.py
@@ -244,6 +244,8 @@
         finally:
             deadline.clear()
             self._pending.pop(sequence, None)
+            # See Pool.request: an exception would keep the message in memory.
+            del fut
 
     def heartbeat(self, sequence: int, frame: bytes, now: float) -> None:
         """Send an encoded heartbeat; ``now`` is passed to ``on_state`` with its answer."""
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -54,6 +54,7 @@
 from .load_balancer import LoadBalancer
 from .local_target import LocalTarget
 from .membership import Membership
+from .memory import budget_bytes, max_connections
 from .metrics import MeshMetrics, TargetState
 from .overload_report import OverloadReport
 from .propagation import Propagation
@@ -129,11 +130,6 @@
 LONG_HOLD_S = 0.5
 """Time for which something may hold the event loop before it is logged."""
 
-REQUEST_MEMORY_SHARE = 0.25
-"""Share of the memory limit that request bodies may use at any time."""
-
-RESPONSE_MEMORY_SHARE = 0.2
-"""Share of the memory limit that responses which are being read may use at any time."""
 
 GC_THRESHOLDS = (20_000, 20, 50)
 
@@ -202,13 +198,13 @@
         tolerance = Tolerance(cfg.rate_tolerance, cfg.rate_tolerance_requests)
         self.quotas = Quotas(self.clock, self._rng, tolerance, cfg.first_start)
         self.graph = CallGraph(self.clock)
-        response_memory = MemoryBudget(int(cfg.memory_mb * 2**20 * RESPONSE_MEMORY_SHARE))
+        self.memory = MemoryBudget(budget_bytes(cfg.memory_mb))
         self.target = LocalTarget(
             self.clock,
             adapter,
             self.explainer,
             self.graph.record_run,
-            response_memory,
+            self.memory,
             self._broadcast_state,
         )
         self.departures = DepartureRecorder(
@@ -233,7 +229,6 @@
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._run_tasks: dict[tuple[LinkProtocol, int], asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[Any]] = []
-        self._request_memory = MemoryBudget(int(cfg.memory_mb * 2**20 * REQUEST_MEMORY_SHARE))
         self._max_confirmation_age_s = cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S
         self._incoming_links: set[LinkProtocol] = set()
         self.homes = RateHomes(
@@ -748,7 +743,11 @@
         ]
         if cfg.metrics:
             services.append((self.metrics, cfg.metrics))
-        self._listeners = [HttpListener(service, self._request_memory) for service, _ in services]
+        self._listeners = [HttpListener(service, self.memory) for service, _ in services]
+        self._listeners[0] = callers = HttpListener(
+            self.entry, self.memory, max_connections(cfg.file_descriptors)
+        )
+        self.memory.on_shortage = callers.connections.shed
         for listener, (_, address) in zip(self._listeners, services, strict=True):
             await listener.start(address)
         for run in (
--- a/beryldrum/platform/process.py
+++ b/beryldrum/platform/process.py
@@ -7,6 +7,7 @@
 
 from .. import logs
 from ..mesh.lines import LineWriter
+from ..mesh.memory import return_large_blocks
 from ..mesh.node import MeshNode, serve
 from ..mesh.settings import MeshSettings, read
 from .conventions import PlatformAdapter
@@ -40,6 +41,7 @@
 
 async def run() -> None:
     """Run the node that the settings file describes until it is stopped."""
+    return_large_blocks()
     file = _SettingsFile(os.environ[SETTINGS_PATH_VARIABLE])
     cfg = file.read()
     lines = LineWriter(sys.stdout.fileno())
--- a/beryldrum/standin/endpoint.py
+++ b/beryldrum/standin/endpoint.py
@@ -19,7 +19,7 @@
     def __init__(self) -> None:
         self.headers: dict[str, str] = {}
         self.url = b""
-        self.body = b""
+        self._pieces: list[bytes] = []
         self.complete = False
 
     def on_url(self, url: bytes) -> None:
@@ -29,7 +29,12 @@
         self.headers[name.decode().lower()] = value.decode()
 
     def on_body(self, body: bytes) -> None:
-        self.body += body
+        self._pieces.append(body)
+
+    @property
+    def body(self) -> bytes:
+        """The body so far."""
+        return b"".join(self._pieces)
 
     def on_message_complete(self) -> None:
         self.complete = True
