Mesh: frames of large bodies count towards the memory of both nodes

Memory for a large frame and its decoded copy is now reserved when its length is known. If there is none, the frame is skipped as it arrives: a run is refused as not run (503, out-of-memory), for a reply the answer counts as lost. Runs hold their part until they end. Write buffers towards nodes that do not read count, and a large body is not sent without room for its frame.

--- a/beryldrum/mesh/frames.py
+++ b/beryldrum/mesh/frames.py
@@ -14,8 +14,12 @@
 from .quota import Usage
 
 __all__ = [
+    "LARGE_BODY_BYTES",
     "LENGTH",
     "MAX_FRAME_BYTES",
+    "PEEK_BYTES",
+    "REPLY_TAG",
+    "RUN_TAG",
     "Address",
     "Cancel",
     "Document",
@@ -40,6 +44,7 @@
     "decode",
     "encode",
     "encode_buffer",
+    "peek",
 ]
 
 MAX_FRAME_BYTES = 72 * 2**20
@@ -51,6 +56,9 @@
 LARGE_BODY_BYTES = 262_144
 """Size of a body from which the buffer of its frame is allocated at once."""
 
+PEEK_BYTES = 32
+"""Bytes at the start of a message that contain its tag and sequence number."""
+
 LENGTH = struct.Struct(">I")
 
 
@@ -139,7 +147,10 @@
     allowed_per_s: Amount
 
 
-class Run(msgspec.Struct, array_like=True, tag=1):
+RUN_TAG = 1
+
+
+class Run(msgspec.Struct, array_like=True, tag=RUN_TAG):
     """Asks a node to hand a request to its target."""
 
     sequence: int
@@ -161,7 +172,10 @@
     """Whether the request, or a run that made it as a call, was handed over before."""
 
 
-class Reply(msgspec.Struct, array_like=True, tag=2):
+REPLY_TAG = 2
+
+
+class Reply(msgspec.Struct, array_like=True, tag=REPLY_TAG):
     """The outcome of a :class:`Run`; ``reason`` is empty if the target answered."""
 
     sequence: int
@@ -336,6 +350,26 @@
     return buffer
 
 
+def peek(body: bytes) -> tuple[int, int]:
+    """Return the tag and sequence number of a message from its first ``PEEK_BYTES``.
+
+    The sequence number is -1 if the message has none.
+    """
+    # An array header of one, three or five bytes.
+    position = {0xDC: 3, 0xDD: 5}.get(body[0], 1)
+    values = []
+    for _ in range(2):
+        kind = body[position]
+        size = {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8}.get(kind, 0)
+        if not size and kind > 0x7F:
+            values.append(-1)
+            continue
+        number = body[position + 1 : position + 1 + size]
+        values.append(int.from_bytes(number, "big") if size else kind)
+        position += 1 + size
+    return values[0], values[1]
+
+
 def decode(body: bytes | memoryview) -> Message:
     """Return the message in a frame's body; raises FrameError."""
     try:
--- a/beryldrum/mesh/links.py
+++ b/beryldrum/mesh/links.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import sys
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any, cast
@@ -14,7 +15,7 @@
 from ..errors import FrameError, PeerLostError
 from . import frames
 from .deadlines import Deadlines
-from .http import report_exception
+from .http import MemoryBudget, report_exception
 
 __all__ = ["Link", "LinkHandler", "LinkProtocol", "listen"]
 
@@ -35,6 +36,12 @@
     def message(self, message: frames.Message, link: "LinkProtocol") -> None:
         """Handle a message received on ``link``."""
 
+    def too_large(self, tag: int, sequence: int, link: "LinkProtocol") -> None:  # noqa: B027
+        """Handle a message that was skipped, since there is no memory for it.
+
+        ``tag`` and ``sequence`` are those of the message.
+        """
+
     @abstractmethod
     def link_opened(self, link: "LinkProtocol") -> None:
         """Handle the opening of ``link``."""
@@ -45,11 +52,23 @@
 
 
 class LinkProtocol(asyncio.Protocol):
-    """Encodes and decodes the frames of one connection."""
+    """Encodes and decodes the frames of one connection.
 
-    def __init__(self, handler: LinkHandler) -> None:
+    What large frames and the write buffer take counts towards ``memory``. A large frame
+    for which there is none is skipped.
+    """
+
+    def __init__(self, handler: LinkHandler, memory: MemoryBudget | None = None) -> None:
         self._handler = handler
+        self._memory = memory or MemoryBudget(sys.maxsize)
         self._buffer = bytearray()
+        self._reserved = 0
+        """Bytes reserved for the large frame that is being received."""
+        self._skip = 0
+        """Bytes still to come of a frame that is skipped."""
+        self._unsent = 0
+        """Bytes of the memory budget in use for the write buffer."""
+        self._write_paused = False
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -57,6 +76,10 @@
         self._handler.link_opened(self)
 
     def data_received(self, data: bytes) -> None:
+        if self._skip:
+            skipped = min(self._skip, len(data))
+            self._skip -= skipped
+            data = data[skipped:]
         buffer = self._buffer
         buffer += data
         start, size = 0, len(buffer)
@@ -67,7 +90,10 @@
                     raise FrameError(f"frame too large: {length} bytes")
                 end = start + 4 + length
                 if end > size:
+                    if length >= frames.LARGE_BODY_BYTES and not self._reserved:
+                        start = self._reserve_frame(length, start, end)
                     break
+                self._release_frame()
                 with memoryview(buffer)[start + 4 : end] as body:
                     self._handle(body)
                 start = end
@@ -76,6 +102,47 @@
             self.abort()
         del buffer[:start]
 
+    def _reserve_frame(self, length: int, start: int, end: int) -> int:
+        """Reserve memory for a large frame, or skip it.
+
+        Returns the position in the buffer up to which that is done with.
+        """
+        size = len(self._buffer)
+        if size - start < 4 + frames.PEEK_BYTES:
+            return start
+        # The buffer, which reserves an eighth in advance, and the decoded message.
+        wanted = length * 9 // 8 + length
+        first = bytes(self._buffer[start + 4 : start + 4 + frames.PEEK_BYTES])
+        tag, sequence = frames.peek(first)
+        if tag not in (frames.RUN_TAG, frames.REPLY_TAG):
+            # The states of a large fleet do not come from clients.
+            self._memory.charge(wanted)
+            self._reserved = wanted
+            return start
+        if self._memory.reserve(wanted):
+            self._reserved = wanted
+            return start
+        self._skip = end - size
+        self._handler.too_large(tag, sequence, self)
+        return size
+
+    def _release_frame(self) -> None:
+        self._memory.release(self._reserved)
+        self._reserved = 0
+
+    def pause_writing(self) -> None:
+        self._write_paused = True
+        self._count_unsent(self.unsent_bytes())
+
+    def resume_writing(self) -> None:
+        self._write_paused = False
+        self._memory.release(self._unsent)
+        self._unsent = 0
+
+    def _count_unsent(self, size: int) -> None:
+        self._unsent += size
+        self._memory.charge(size)
+
     def _handle(self, body: memoryview) -> None:
         try:
             self._handler.message(frames.decode(body), self)
@@ -85,6 +152,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self._release_frame()
+        self.resume_writing()
         self._handler.link_closed(self)
 
     @property
@@ -95,12 +164,15 @@
     def send(self, message: frames.Message) -> None:
         """Send a message; it is dropped if the connection is closed."""
         if self._transport is not None:
-            self._transport.write(frames.encode_buffer(message))
+            self.write(frames.encode_buffer(message))
 
-    def write(self, frame: bytes) -> None:
+    def write(self, frame: bytes | bytearray) -> None:
         """Send an encoded frame; one frame can be sent to several nodes."""
-        if self._transport is not None:
-            self._transport.write(frame)
+        if self._transport is None:
+            return
+        if self._write_paused:
+            self._count_unsent(len(frame))
+        self._transport.write(frame)
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes in the write buffer."""
@@ -124,8 +196,10 @@
         address: str,
         on_state: Callable[["Link", frames.State, float], None],
         deadlines: Deadlines,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.address = address
+        self._memory = memory or MemoryBudget(sys.maxsize)
         self._on_state = on_state
         self._deadlines = deadlines
         self._protocol: LinkProtocol | None = None
@@ -160,7 +234,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: LinkProtocol(self), host, int(port)
+                    lambda: LinkProtocol(self, self._memory), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             raise PeerLostError(self.address, sent=False) from exc
@@ -204,6 +278,12 @@
             if fut is not None and not fut.done():
                 fut.set_result(message)
 
+    def too_large(self, tag: int, sequence: int, link: LinkProtocol) -> None:
+        fut = self._pending.pop(sequence, None)
+        if fut is not None and not fut.done():
+            # The target has answered, but there is no room for it.
+            fut.set_exception(PeerLostError(self.address, sent=True))
+
     def link_closed(self, link: LinkProtocol) -> None:
         if link is not self._protocol:
             return
@@ -227,6 +307,12 @@
         protocol = self._protocol
         if protocol is None or not protocol.open or protocol.unsent_bytes() > MAX_UNSENT_BYTES:
             raise PeerLostError(self.address, sent=False)
+        size = len(message.body) if isinstance(message, frames.Run) else 0
+        if size >= frames.LARGE_BODY_BYTES:
+            # Room for the frame, which the connection counts when it has to keep it.
+            if not self._memory.reserve(size):
+                raise PeerLostError(self.address, sent=False)
+            self._memory.release(size)
         loop = asyncio.get_running_loop()
         self.used_at = loop.time()
         if not self._pending and not self._heartbeats:
@@ -267,8 +353,10 @@
             self._protocol.abort()
 
 
-async def listen(address: str, handler: LinkHandler) -> asyncio.Server:
+async def listen(
+    address: str, handler: LinkHandler, memory: MemoryBudget | None = None
+) -> asyncio.Server:
     """Listen for other nodes on ``host:port``; raises OSError if the address is in use."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    return await loop.create_server(lambda: LinkProtocol(handler), host, int(port))
+    return await loop.create_server(lambda: LinkProtocol(handler, memory), host, int(port))
--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -23,10 +23,11 @@
 from .document import FleetDocument, Route
 from .entry import AdmissionCheck, AttemptRunner, CallOrigin, Entry, KeyCheck
 from .evacuation import Evacuations
-from .exchange import unknown
+from .exchange import not_run, unknown
 from .explain import Explainer
 from .follow import Follower
 from .frames import (
+    RUN_TAG,
     Cancel,
     Document,
     DocumentRequest,
@@ -131,6 +132,12 @@
 """Time for which something may hold the event loop before it is logged."""
 
 
+RUN_BYTES = 2_048
+"""Memory that a run takes in addition to its head and body."""
+
+MEMORY_RETRY_AFTER_MS = 500
+"""Retry-After where there is no memory for a body; stalled ones end after a second."""
+
 GC_THRESHOLDS = (20_000, 20, 50)
 
 
@@ -428,9 +435,7 @@
 
     def message(self, message: Message, link: LinkProtocol) -> None:
         if isinstance(message, Run):
-            key = (link, message.sequence)
-            task = self._run_tasks[key] = asyncio.create_task(self._serve_run(message, link))
-            task.add_done_callback(lambda _: self._run_tasks.pop(key, None))
+            self._start_run(message, link)
         elif isinstance(message, Cancel):
             running = self._run_tasks.get((link, message.sequence))
             if running is not None:
@@ -464,6 +469,25 @@
                 )
             )
 
+    def _start_run(self, run: Run, link: LinkProtocol) -> None:
+        key, size = (link, run.sequence), len(run.head) + len(run.body) + RUN_BYTES
+        if not self.memory.reserve(size):
+            self.too_large(RUN_TAG, run.sequence, link)
+            return
+
+        def ended(_: asyncio.Task[None]) -> None:
+            self._run_tasks.pop(key, None)
+            self.memory.release(size)
+
+        task = self._run_tasks[key] = asyncio.create_task(self._serve_run(run, link))
+        task.add_done_callback(ended)
+
+    def too_large(self, tag: int, sequence: int, link: LinkProtocol) -> None:
+        if tag == RUN_TAG:
+            reply = not_run(request.OUT_OF_MEMORY, MEMORY_RETRY_AFTER_MS)
+            reply.sequence = sequence
+            link.send(reply)
+
     def link_opened(self, link: LinkProtocol) -> None:
         self._incoming_links.add(link)
 
@@ -531,7 +555,7 @@
 
     def _connect(self, peer: Peer) -> Link:
         address = peer.member.address
-        link = self._links[address] = Link(address, self._on_state, self._deadlines)
+        link = self._links[address] = Link(address, self._on_state, self._deadlines, self.memory)
         link.used_at = asyncio.get_running_loop().time()
         peer.unanswered_s = link.silent_s
         self._link_tasks[address] = asyncio.create_task(self._keep_link(peer, link))
@@ -735,7 +759,7 @@
     async def start(self) -> None:
         """Open the listeners and start the tasks; raises OSError if an address is in use."""
         cfg = self.cfg
-        self._server = await listen(cfg.nodes, self)
+        self._server = await listen(cfg.nodes, self, self.memory)
         services: list[tuple[HttpService, str]] = [
             (self.entry, cfg.outbound),
             (_ReadinessService(self.ready), cfg.ready),
--- a/beryldrum/request.py
+++ b/beryldrum/request.py
@@ -74,6 +74,7 @@
 NO_REGION = Reason("no-region", 503, "no target in a region that the request may go to")
 LEAVING = Reason("target-leaving", 503, "the target is leaving")
 TARGET_UNREACHED = Reason("target-unreached", 503, "no connection to the target was opened")
+OUT_OF_MEMORY = Reason("out-of-memory", 503, "the node has no memory for the body")
 STOPPING = Reason("node-stopping", 503, "the node is stopping")
 TOO_LARGE = Reason("too-large", 413, "headers or body are too large")
 TOO_SLOW = Reason("too-slow", 408, "the body did not arrive in time")
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -994,6 +994,34 @@
         "            if not self._transport and now - moved_at >",
         LIMITS + "HeldMemoryTest::test_a_client_that_never_reads_is_kept",
     ),
+    Mutant(
+        "mesh: a large frame is skipped if there is no memory for it",
+        "mesh/links.py",
+        "        if self._memory.reserve(wanted):\n",
+        "        if not self._memory.charge(wanted):\n",
+        MEMORY + "FrameMemoryTest",
+    ),
+    Mutant(
+        "mesh: memory of a large frame is released with its connection",
+        "mesh/links.py",
+        "        self._release_frame()\n        self.resume_writing()\n",
+        "        self.resume_writing()\n",
+        MEMORY + "FrameMemoryTest",
+    ),
+    Mutant(
+        "mesh: frames that are not read count towards the memory",
+        "mesh/links.py",
+        "            self._count_unsent(len(frame))\n",
+        "            pass\n",
+        MEMORY + "FrameMemoryTest",
+    ),
+    Mutant(
+        "mesh: a run counts towards the memory of its target's node",
+        "mesh/node.py",
+        "        if not self.memory.reserve(size):\n",
+        "        if False:\n",
+        "tests/test_mesh_client_limits.py::NodeMemoryTest",
+    ),
 )
 
 
--- a/tests/test_mesh_client_limits.py
+++ b/tests/test_mesh_client_limits.py
@@ -12,6 +12,8 @@
 from beryldrum.mesh.http_connection import ServerConnection
 from beryldrum.mesh.shedding import Client, Clients, Standing
 
+from .mesh_fleet import Fleet, until
+
 HEADER_BYTES = 1_000
 POST = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -243,3 +245,20 @@
         await asyncio.sleep(0.01)
         self.assertTrue(stalled.is_closing())
         self.assertEqual((1, False), (self.handled, ordinary.is_closing()))
+
+
+class NodeMemoryTest(unittest.IsolatedAsyncioTestCase):
+    """Real nodes: a body for which the target's node has no memory is refused as not run."""
+
+    async def test_a_run_is_accepted_without_memory_for_it(self):
+        async with Fleet("shop", "stock") as fleet:
+            shop, stock = await fleet.serve()
+            shop.node.memory.charge(shop.node.memory.limit - shop.node.memory.reserved - 10_000)
+            before = shop.node.memory.reserved
+            for size, status in ((8_000, 503), (600_000, 503), (1, 200)):
+                response = await stock.ask("/book/1", "POST", body=b"x" * size)
+                self.assertEqual(status, response.status, size)
+                if status == 503:
+                    self.assertIn(b"out-of-memory", response.body)
+            self.assertEqual(1, len(shop.target.runs))
+            await until(lambda: shop.node.memory.reserved == before)
--- a/tests/test_mesh_memory.py
+++ b/tests/test_mesh_memory.py
@@ -182,9 +182,15 @@
 
     message_ = None
 
+    def __init__(self):
+        self.skipped = []
+
     def message(self, message, link):
         self.message_ = message
 
+    def too_large(self, tag, sequence, link):
+        self.skipped.append((tag, sequence))
+
     def link_opened(self, link):
         pass
 
@@ -214,3 +220,51 @@
             self.assertLess(usage()[1], 2.3 * size)
             self.assertLess(usage()[0], 1.1 * size)
         self.assertEqual(run, sink.message_)
+
+    @parameterized.expand(
+        [
+            (f"{kind} {sequence}", kind, sequence)
+            for kind in ("run", "reply")
+            for sequence in (1, 200, 70_000, 2**40)
+        ]
+    )
+    async def test_a_large_frame_without_memory_for_it_is_received(self, _, kind, sequence):
+        body, sink, memory = b"x" * 2**20, _Sink(), MemoryBudget(2**20)
+        run = frames.Run(sequence, "s", "POST", "/", b"h", body, "o", 3, 1, 1, "r", False, "n")
+        reply = frames.Reply(sequence, 0, 200, b"", body, "", 0, None, True)
+        frame = frames.encode(run if kind == "run" else reply)
+        receiver = LinkProtocol(sink, memory)
+        receiver.connection_made(mock.Mock(spec=asyncio.Transport))
+        after = frames.Cancel(7)
+        data = frame + frames.encode(after)
+        for start in range(0, len(data), 65_536):
+            receiver.data_received(data[start : start + 65_536])
+            self.assertEqual(0, memory.reserved)
+        self.assertEqual([(1 if kind == "run" else 2, sequence)], sink.skipped)
+        self.assertEqual(after, sink.message_)
+
+    @parameterized.expand([("whole", 2**20), ("broken off", 500_000)])
+    async def test_a_large_frame_keeps_its_memory(self, _, size):
+        run = frames.Run(1, "s", "POST", "/", b"h", b"x" * 2**20, "o", 3, 1, 1, "r", False, "n")
+        sink, memory, frame = _Sink(), MemoryBudget(4 * 2**20), frames.encode(run)
+        receiver = LinkProtocol(sink, memory)
+        receiver.connection_made(mock.Mock(spec=asyncio.Transport))
+        receiver.data_received(frame[:100_000])
+        self.assertGreater(memory.reserved, 2 * 2**20)
+        receiver.data_received(frame[100_000 : size + 100])
+        receiver.data_received(frame[size + 100 :] if size >= 2**20 else b"")
+        self.assertEqual([], sink.skipped)
+        receiver.connection_lost(None)
+        self.assertEqual(0, memory.reserved)
+
+    async def test_frames_that_a_node_does_not_read_do_not_count(self):
+        memory = MemoryBudget(4 * 2**20)
+        transport = mock.Mock(spec=asyncio.Transport)
+        transport.get_write_buffer_size.return_value = 100_000
+        sender = LinkProtocol(_Sink(), memory)
+        sender.connection_made(transport)
+        sender.pause_writing()
+        sender.write(b"x" * 50_000)
+        self.assertEqual(150_000, memory.reserved)
+        sender.resume_writing()
+        self.assertEqual(0, memory.reserved)
