Mesh: a lost connection is freed at once

The connection and its parser referred to each other, and the collector runs only every 20,000 objects, so that a header of up to a quarter of a megabyte that was not complete stayed in memory after its client had been refused. The test failed before.

--- a/beryldrum/mesh/http_connection.py
+++ b/beryldrum/mesh/http_connection.py
@@ -153,6 +153,9 @@
         self._memory.release(CONNECTION_BYTES + self._counted)
         self._counted = self._unsent = 0
         self._discard_requests()
+        # The connection and its parser form a reference cycle, and the parser may hold a
+        # header that was not complete.
+        del self._parser
 
     def pause_writing(self) -> None:
         self._write_paused = True
@@ -418,7 +421,6 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         self._release(self._reserved)
-        # The connection and its parser form a reference cycle.
         self._reset()
 
     def _refuse(self, status: int) -> None:
--- a/tests/test_mesh_client_limits.py
+++ b/tests/test_mesh_client_limits.py
@@ -1,8 +1,10 @@
 """Limits on what clients make a node hold, without a network."""
 
 import asyncio
+import gc
 import time
 import unittest
+import weakref
 from unittest import mock
 
 from parameterized import parameterized
@@ -69,6 +71,15 @@
         pieces = [rest[start : start + 100] for start in range(0, len(rest), 100)]
         self.assertEqual(200, await self.status_after(first, *pieces))
 
+    async def test_a_lost_connection_stays_in_memory_until_the_collector_runs(self):
+        await self.status_after(b"GET / HTTP/1.1\r\nA: " + b"x" * 900)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        gone = weakref.ref(self.conn)
+        self.conn.connection_lost(None)
+        del self.conn
+        self.assertIsNone(gone())
+
     async def test_a_long_body_counts_as_a_head(self):
         pieces = [b"64\r\n" + b"x" * 100 + b"\r\n"] * 100
         self.assertEqual(200, await self.status_after(POST, *pieces, b"0\r\n\r\n"))
