Mesh: responses held back for their order are given up as the last resort

They counted towards the memory budget, but nobody could be given up for them: some hundred pipelined requests whose first one hangs can hold a response each when those come in frames too small to be reserved in advance. The test failed before.

--- a/beryldrum/mesh/http_connection.py
+++ b/beryldrum/mesh/http_connection.py
@@ -70,7 +70,15 @@
 class _Exchange:
     """A complete request and, when that is known, its response."""
 
-    __slots__ = ("http_request", "keep_alive", "reserved", "response", "runs_ahead", "task")
+    __slots__ = (
+        "held",
+        "http_request",
+        "keep_alive",
+        "reserved",
+        "response",
+        "runs_ahead",
+        "task",
+    )
 
     def __init__(self, http_request: HttpRequest, keep_alive: bool, reserved: int) -> None:
         self.http_request = http_request
@@ -78,6 +86,8 @@
         self.reserved = reserved
         """Bytes reserved in the memory budget for the request or its response."""
         self.response: HttpResponse | None = None
+        self.held = 0
+        """Bytes of a response that is held back."""
         self.runs_ahead = False
         """Whether it was started before the requests before it were answered."""
         self.task: asyncio.Task[None] | None = None
@@ -112,6 +122,8 @@
         """Bytes of the responses since the client last kept up with them."""
         self._counted = 0
         """Bytes of the memory budget in use for the write buffer."""
+        self._held = 0
+        """Bytes of responses that are held back."""
         self._write_paused = False
         """Whether the client takes responses more slowly than they come."""
         self._taken_at = 0.0
@@ -363,6 +375,8 @@
         exchange.http_request = exchange.http_request._replace(headers={}, raw_headers=[], body=b"")
         self._release(exchange.reserved)
         exchange.reserved = len(response.head) + len(response.body)
+        exchange.held = exchange.reserved
+        self._held += exchange.held
         self._reserved += exchange.reserved
         self._memory.charge(exchange.reserved)
 
@@ -374,6 +388,7 @@
             response = exchange.response
             assert response is not None
             self._release(exchange.reserved)
+            self._held -= exchange.held
             close = response.close or not exchange.keep_alive
             if self._service.closing() and not self._started:
                 # Requests that have been passed on are answered before that.
@@ -421,6 +436,7 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         self._release(self._reserved)
+        self._held = 0
         self._reset()
 
     def _refuse(self, status: int) -> None:
@@ -470,6 +486,9 @@
             # The pause of the writes tells that the client does not keep up.
             taken = 1 - self._unsent / max(self._backlog, self._unsent)
             return Standing(self._counted + self._reserved, now - self._taken_at, taken)
+        if self._held:
+            # It has kept all that it promised, so it is the last to be given up.
+            return Standing(self._held, 0.0, 1.0)
         if not self.reading or self._refused or self._closing():
             return None
         promised = self._headers.get(b"content-length", b"")
@@ -478,7 +497,7 @@
         return Standing(self._request_reserved, now - self.active_at, kept)
 
     def shed(self) -> None:
-        if self._unsent:
+        if self._unsent or self._held:
             self._abort()
             return
         self._release(self._request_reserved)
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -1022,6 +1022,20 @@
         "        if False:\n",
         "tests/test_mesh_client_limits.py::NodeMemoryTest",
     ),
+    Mutant(
+        "mesh: answers that are held back are given up when memory is short",
+        "mesh/http_connection.py",
+        "        if self._held:\n",
+        "        if False:\n",
+        PIPELINING + "test_answers_that_are_held_back_take_more_than_there_is",
+    ),
+    Mutant(
+        "mesh: a lost connection is freed without the collector",
+        "mesh/http_connection.py",
+        "        del self._parser\n",
+        "        pass\n",
+        LIMITS + "HeadLimitTest::test_a_lost_connection_stays_in_memory_until_the_collector_runs",
+    ),
 )
 
 
--- a/tests/test_mesh_pipelining.py
+++ b/tests/test_mesh_pipelining.py
@@ -56,7 +56,9 @@
             spec=asyncio.Transport, write=self.written.append, is_closing=lambda: False
         )
         self.transport.is_closing.return_value = False
-        self.conn = ServerConnection(self.service, self.memory, Clients())
+        clients = Clients()
+        self.memory.on_shortage = clients.shed
+        self.conn = ServerConnection(self.service, self.memory, clients)
         self.conn.connection_made(self.transport)
         self.idle_bytes = self.memory.reserved
 
@@ -167,6 +169,17 @@
         await self.end("s1")
         self.assertEqual(self.idle_bytes, self.memory.reserved)
 
+    async def test_answers_that_are_held_back_take_more_than_there_is(self):
+        await self.send("s1", "s2", "s3")
+        self.service.running.pop("s3").set_result(HttpResponse(200, b"", b"a" * 900_000))
+        await self.settle()
+        self.transport.abort.assert_not_called()
+        self.service.running.pop("s2").set_result(HttpResponse(200, b"", b"a" * 900_000))
+        await self.settle()
+        self.transport.abort.assert_called_once()
+        self.assertEqual(["s1"], self.service.cancelled)
+        self.assertEqual(self.idle_bytes, self.memory.reserved)
+
     async def test_requests_run_ahead_when_memory_is_scarce(self):
         self.memory.charge(600_000)
         await self.send("s1", "s2")
