--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -25,10 +25,11 @@
 from .entry import AdmissionCheck, AttemptRunner, CallOrigin, Entry, KeyCheck
 from .evacuation import Evacuations
 from .evacuation_response import EvacuationResponse
-from .exchange import unknown
+from .exchange import not_run, unknown
 from .explain import Explainer
 from .follow import Follower
 from .frames import (
+    RUN_TAG,
     Cancel,
     Document,
     DocumentRequest,
@@ -50,18 +51,13 @@
 from .gate import CALL_PRIORITY, call_priority
 from .graph import CallGraph
 from .homes import RateHomes
-from .http import (
-    HttpListener,
-    HttpRequest,
-    HttpResponse,
-    HttpService,
-    MemoryBudget,
-    report_exception,
-)
+from .http import HttpRequest, HttpResponse, HttpService, MemoryBudget, report_exception
+from .http_listener import HttpListener
 from .links import Link, LinkHandler, LinkProtocol, listen
 from .load_balancer import LoadBalancer
 from .local_target import LocalTarget
 from .membership import Membership
+from .memory import ShortageLog, budget_bytes, max_connections
 from .metrics import MeshMetrics, TargetState
 from .overload_report import OverloadReport
 from .propagation import Propagation
@@ -137,11 +133,12 @@
 LONG_HOLD_S = 0.5
 """Time for which something may hold the event loop before it is logged."""
 
-REQUEST_MEMORY_SHARE = 0.25
-"""Share of the memory limit that request bodies may use at any time."""
 
-RESPONSE_MEMORY_SHARE = 0.2
-"""Share of the memory limit that responses which are being read may use at any time."""
+RUN_BYTES = 2_048
+"""Memory that a run takes in addition to its head and body."""
+
+MEMORY_RETRY_AFTER_MS = 500
+"""Retry-After where there is no memory for a body; stalled ones end after a second."""
 
 GC_THRESHOLDS = (20_000, 20, 50)
 
@@ -210,25 +207,27 @@
         tolerance = Tolerance(cfg.rate_tolerance, cfg.rate_tolerance_requests)
         self.quotas = Quotas(self.clock, self._rng, tolerance, cfg.first_start)
         self.graph = CallGraph(self.clock)
-        response_memory = MemoryBudget(int(cfg.memory_mb * 2**20 * RESPONSE_MEMORY_SHARE))
+        self.memory = MemoryBudget(budget_bytes(cfg.memory_mb))
         self.target = LocalTarget(
             self.clock,
             adapter,
             self.explainer,
             self.graph.record_run,
-            response_memory,
+            self.memory,
             self._broadcast_state,
             ColdPolicy(lambda: self.cfg, lambda: self.configuration.document),
         )
         self.departures = DepartureRecorder(
             self.clock, store, address, self.explainer, self.target.announcements.departures
         )
+        self.shortages = ShortageLog(self.clock, self.explainer, self.memory)
         self.metrics = MeshMetrics(
             self.quotas.states,
             self._target_state,
             lambda: self.follower.state(),
             lambda: self.overload_report.state(),
             lambda: self.zone_shares.state(),
+            self.shortages.state,
         )
         self.stopping = False
         self._replaced_target: Announcement | None = None
@@ -242,7 +241,6 @@
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._run_tasks: dict[tuple[LinkProtocol, int], asyncio.Task[None]] = {}
         self._tasks: list[asyncio.Task[Any]] = []
-        self._request_memory = MemoryBudget(int(cfg.memory_mb * 2**20 * REQUEST_MEMORY_SHARE))
         self._max_confirmation_age_s = cfg.key_withdrawal_ms / 1000 - KEY_MARGIN_S
         self._incoming_links: set[LinkProtocol] = set()
         self.homes = RateHomes(
@@ -459,9 +457,7 @@
 
     def message(self, message: Message, link: LinkProtocol) -> None:
         if isinstance(message, Run):
-            key = (link, message.sequence)
-            task = self._run_tasks[key] = asyncio.create_task(self._serve_run(message, link))
-            task.add_done_callback(lambda _: self._run_tasks.pop(key, None))
+            self._start_run(message, link)
         elif isinstance(message, Cancel):
             running = self._run_tasks.get((link, message.sequence))
             if running is not None:
@@ -495,6 +491,26 @@
                 )
             )
 
+    def _start_run(self, run: Run, link: LinkProtocol) -> None:
+        key, size = (link, run.sequence), len(run.head) + len(run.body) + RUN_BYTES
+        if not self.memory.reserve(size):
+            self.too_large(RUN_TAG, run.sequence, link)
+            return
+
+        def ended(_: asyncio.Task[None]) -> None:
+            self._run_tasks.pop(key, None)
+            self.memory.release(size)
+
+        task = self._run_tasks[key] = asyncio.create_task(self._serve_run(run, link))
+        task.add_done_callback(ended)
+
+    def too_large(self, tag: int, sequence: int, link: LinkProtocol) -> None:
+        if tag == RUN_TAG:
+            self.shortages.runs_refused += 1
+            reply = not_run(request.OUT_OF_MEMORY, MEMORY_RETRY_AFTER_MS)
+            reply.sequence = sequence
+            link.send(reply)
+
     def link_opened(self, link: LinkProtocol) -> None:
         self._incoming_links.add(link)
 
@@ -562,7 +578,7 @@
 
     def _connect(self, peer: Peer) -> Link:
         address = peer.member.address
-        link = self._links[address] = Link(address, self._on_state, self._deadlines)
+        link = self._links[address] = Link(address, self._on_state, self._deadlines, self.memory)
         link.used_at = asyncio.get_running_loop().time()
         peer.unanswered_s = link.silent_s
         self._link_tasks[address] = asyncio.create_task(self._keep_link(peer, link))
@@ -748,6 +764,7 @@
             for listener in self._listeners:
                 listener.sweep()
             self.overload_report.log()
+            self.shortages.tick()
 
     def _record_hold(self, seconds: float) -> None:
         """Record by how much a timer was late, which shows what held the event loop."""
@@ -767,7 +784,7 @@
     async def start(self) -> None:
         """Open the listeners and start the tasks; raises OSError if an address is in use."""
         cfg = self.cfg
-        self._server = await listen(cfg.nodes, self)
+        self._server = await listen(cfg.nodes, self, self.memory)
         services: list[tuple[HttpService, str]] = [
             (self.entry, cfg.outbound),
             (_ReadinessService(self.ready), cfg.ready),
@@ -775,7 +792,12 @@
         ]
         if cfg.metrics:
             services.append((self.metrics, cfg.metrics))
-        self._listeners = [HttpListener(service, self._request_memory) for service, _ in services]
+        self._listeners = [HttpListener(service, self.memory) for service, _ in services]
+        self._listeners[0] = callers = HttpListener(
+            self.entry, self.memory, max_connections(cfg.file_descriptors)
+        )
+        self.shortages.listener = callers
+        self.memory.on_shortage = callers.connections.shed
         for listener, (_, address) in zip(self._listeners, services, strict=True):
             await listener.start(address)
         for run in (
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -50,6 +50,8 @@
 ODD_INPUT = "tests/test_mesh_odd_input.py::"
 ZONES = "tests/test_mesh_zone_share.py::"
 RESIDENCY = "tests/test_mesh_residency.py::"
+LIMITS = "tests/test_mesh_client_limits.py::"
+PIPELINING = "tests/test_mesh_pipelining.py::PipeliningTest::"
 DEPARTURES = "tests/test_mesh_departures.py::"
 COLD = "tests/test_mesh_cold_start.py::"
 EVACUATION = "tests/test_mesh_evacuation_load.py::"
@@ -659,7 +661,7 @@
     ),
     Mutant(
         "mesh: an offered upgrade is ignored",
-        "mesh/http.py",
+        "mesh/http_connection.py",
         "            return head + data[exc.args[0] :]\n",
         "            return data[exc.args[0] :]\n",
         "tests/test_mesh_requests.py::UpgradeTest",
@@ -987,6 +989,132 @@
         "",
         COLD + "EvacuationFleetTest::test_records_of_the_operator_are_applied",
     ),
+    Mutant(
+        "mesh: what may run only once waits for the answers before it",
+        "mesh/http_connection.py",
+        "            if self._started and not self._may_run_ahead(self._queue[0]):\n",
+        "            if False:\n",
+        PIPELINING + "test_a_request_that_may_run_once_waits_for_all_answers_before_it",
+    ),
+    Mutant(
+        "mesh: requests behind an answer that closes are cancelled",
+        "mesh/http_connection.py",
+        "            self._transport.close()\n            self._discard_requests()\n",
+        "            self._transport.close()\n",
+        PIPELINING + "test_requests_behind_an_answer_that_closes_run_or_are_answered",
+    ),
+    Mutant(
+        "mesh: a stop answers the pipelined requests that run",
+        "mesh/http_connection.py",
+        "            if self._service.closing() and not self._started:\n",
+        "            if self._service.closing():\n",
+        PIPELINING + "test_a_stop_loses_requests_that_have_been_passed_on",
+    ),
+    Mutant(
+        "mesh: answers keep the order of pipelined requests",
+        "mesh/http_connection.py",
+        "        if exchange is self._started[0]:\n",
+        "        if self._started.remove(exchange) or not self._started.appendleft(exchange):\n",
+        PIPELINING + "test_answers_keep_the_order_of_their_requests",
+    ),
+    Mutant(
+        "mesh: answers that are held back count towards the memory",
+        "mesh/http_connection.py",
+        "        exchange.reserved = len(response.head) + len(response.body)\n",
+        "        exchange.reserved = 0\n",
+        PIPELINING + "test_answers_that_are_held_back_are_not_counted",
+    ),
+    Mutant(
+        "mesh: a head counts while its parts are not complete",
+        "mesh/http_connection.py",
+        "            if self._silent_bytes > self._limits.header_bytes + HEAD_SLACK_BYTES:\n",
+        "            if False:\n",
+        LIMITS + "HeadLimitTest",
+    ),
+    Mutant(
+        "mesh: stalled clients are given up first",
+        "mesh/shedding.py",
+        "        if self.stalled_s >= STALL_S:\n",
+        "        if False:\n",
+        LIMITS + "SheddingTest",
+    ),
+    Mutant(
+        "mesh: memory is not made at the cost of who asks for it",
+        "mesh/shedding.py",
+        " or client is requester:\n",
+        ":\n",
+        LIMITS + "SheddingTest",
+    ),
+    Mutant(
+        "mesh: connections in use are not closed for new ones",
+        "mesh/shedding.py",
+        "        idle.sort(key=lambda entry: entry[0])\n",
+        "",
+        LIMITS + "SheddingTest",
+    ),
+    Mutant(
+        "mesh: unread responses count towards the memory",
+        "mesh/http_connection.py",
+        "        self._memory.charge(self._counted - counted)\n",
+        "        self._counted = counted\n",
+        LIMITS + "HeldMemoryTest",
+    ),
+    Mutant(
+        "mesh: no request is started while responses are not read",
+        "mesh/http_connection.py",
+        " and len(self._started) < MAX_CONCURRENT and not self._write_paused:\n",
+        " and len(self._started) < MAX_CONCURRENT:\n",
+        LIMITS + "HeldMemoryTest::test_requests_run_while_their_responses_are_not_read",
+    ),
+    Mutant(
+        "mesh: a client that never reads is disconnected",
+        "mesh/http_connection.py",
+        "            if self.unsent_bytes() and now - moved_at >",
+        "            if not self._transport and now - moved_at >",
+        LIMITS + "HeldMemoryTest::test_a_client_that_never_reads_is_kept",
+    ),
+    Mutant(
+        "mesh: a large frame is skipped if there is no memory for it",
+        "mesh/links.py",
+        "        if self._memory.reserve(wanted):\n",
+        "        if not self._memory.charge(wanted):\n",
+        MEMORY + "FrameMemoryTest",
+    ),
+    Mutant(
+        "mesh: memory of a large frame is released with its connection",
+        "mesh/links.py",
+        "        self._release_frame()\n        self.resume_writing()\n",
+        "        self.resume_writing()\n",
+        MEMORY + "FrameMemoryTest",
+    ),
+    Mutant(
+        "mesh: frames that are not read count towards the memory",
+        "mesh/links.py",
+        "            self._count_unsent(len(frame))\n",
+        "            pass\n",
+        MEMORY + "FrameMemoryTest",
+    ),
+    Mutant(
+        "mesh: a run counts towards the memory of its target's node",
+        "mesh/node.py",
+        "        if not self.memory.reserve(size):\n",
+        "        if False:\n",
+        "tests/test_mesh_client_limits.py::NodeMemoryTest",
+    ),
+    Mutant(
+        "mesh: answers that are held back are given up when memory is short",
+        "mesh/http_connection.py",
+        "        if self._held:\n",
+        "        if False:\n",
+        PIPELINING + "test_answers_that_are_held_back_take_more_than_there_is",
+    ),
+    Mutant(
+        "mesh: a lost connection is freed without the collector",
+        "mesh/http_connection.py",
+        "        del self._parser\n",
+        "        pass\n",
+        LIMITS + "HeadLimitTest::test_a_lost_connection_stays_in_memory_until_the_collector_runs",
+    ),
 )
 
 
