--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -13,7 +13,9 @@
 from ..clock import Clock, SystemClock
 from ..errors import PeerLostError, SettingsError
 from .admission import AdmissionController
+from .attempts import AttemptRunner
 from .capacity import ServiceCapacity
+from .checks import AdmissionCheck, KeyCheck
 from .cold_start import ColdPolicy
 from .completion import CallCompletion
 from .configuration import ConfigurationState
@@ -22,7 +24,7 @@
 from .departures import DepartureRecorder
 from .directory import Directory, Peer
 from .document import FleetDocument, Route
-from .entry import AdmissionCheck, AttemptRunner, CallOrigin, Entry, KeyCheck
+from .entry import CallOrigin, Entry
 from .evacuation import Evacuations
 from .evacuation_response import EvacuationResponse
 from .exchange import not_run, unknown
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -268,7 +268,7 @@
     ),
     Mutant(
         "mesh: a once-only request is not sent again",
-        "mesh/entry.py",
+        "mesh/attempts.py",
         "        if not req.route.idempotent:\n            return False\n",
         "",
         REQUESTS + "test_target_09_broken_off_once_only",
@@ -289,7 +289,7 @@
     ),
     Mutant(
         "mesh: a key needs recent proof",
-        "mesh/entry.py",
+        "mesh/checks.py",
         "        if age_s > self._max_confirmation_age_s:\n",
         "        if False:\n",
         REQUESTS + "test_a_withdrawn_key_stops_working_without_recent_proof",
@@ -907,7 +907,7 @@
     ),
     Mutant(
         "mesh: the line of a request tells why it left",
-        "mesh/entry.py",
+        "mesh/attempts.py",
         "hops.append(Hop(address, self._load_balancer.left))",
         'hops.append(Hop(address, ""))',
         ZONES + "LineTest",
--- a/tests/test_mesh_completion.py
+++ b/tests/test_mesh_completion.py
@@ -14,12 +14,13 @@
 from beryldrum import request as reasons
 from beryldrum.clock import ManualClock
 from beryldrum.mesh.admission import AdmissionController
+from beryldrum.mesh.attempts import AttemptRunner
 from beryldrum.mesh.budget import RetryBudget
+from beryldrum.mesh.checks import AdmissionCheck, PendingRequest
 from beryldrum.mesh.completion import CallCompletion, total_demands
 from beryldrum.mesh.conventions import RequestMetadata
 from beryldrum.mesh.directory import Directory, Peer
 from beryldrum.mesh.document import Route, WeightedService
-from beryldrum.mesh.entry import AdmissionCheck, AttemptRunner, PendingRequest
 from beryldrum.mesh.exchange import AdmittedRequest, answered, not_run
 from beryldrum.mesh.explain import Explainer
 from beryldrum.mesh.frames import Load, Member, RetryDemand, State, Summary, decode, encode
@@ -29,6 +30,7 @@
 from beryldrum.mesh.metrics import MeshMetrics, OverloadState
 from beryldrum.mesh.overload_report import OverloadReport
 from beryldrum.mesh.priorities import cohort_of, priority_at, retry_order
+from beryldrum.mesh.residency import Residency
 from beryldrum.mesh.returns import Returns
 
 SEEDS = (1, 2, 3)
@@ -358,6 +360,7 @@
         peers = [Peer(Member(f"10.0.0.{n}:1", "a", 1), 0.0) for n in range(2, 9)]
         balancer = mock.create_autospec(LoadBalancer, instance=True)
         balancer.choose.side_effect = peers
+        balancer.left = ""
         left = list(replies)
 
         async def send(peer, run, left_s):
@@ -367,6 +370,7 @@
             ManualClock(),
             directory,
             balancer,
+            Residency(dict),
             lambda service: None,
             send,
             lambda route: True,
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -14,10 +14,10 @@
 from beryldrum.clock import ManualClock
 from beryldrum.mesh.admission import AdmissionController
 from beryldrum.mesh.budget import ORDER_COUNT, RetryBudget
+from beryldrum.mesh.checks import AdmissionCheck, PendingRequest
 from beryldrum.mesh.conventions import RequestMetadata
 from beryldrum.mesh.directory import Peer
 from beryldrum.mesh.document import Route, WeightedService
-from beryldrum.mesh.entry import AdmissionCheck, PendingRequest
 from beryldrum.mesh.frames import Load, Member
 from beryldrum.mesh.gate import CALL_PRIORITY, Gate, RunRequest, call_priority
 from beryldrum.mesh.gate import Admission as Admitted
--- a/tests/test_mesh_returns.py
+++ b/tests/test_mesh_returns.py
@@ -12,9 +12,9 @@
 
 from beryldrum.clock import ManualClock
 from beryldrum.mesh.admission import AdmissionController
+from beryldrum.mesh.checks import AdmissionCheck, PendingRequest, Refusal
 from beryldrum.mesh.conventions import RequestMetadata
 from beryldrum.mesh.document import Route, WeightedService
-from beryldrum.mesh.entry import AdmissionCheck, PendingRequest, Refusal
 from beryldrum.mesh.gate import Admission, Gate, RunRequest
 from beryldrum.mesh.graph import CallGraph
 from beryldrum.mesh.priorities import preferred, priority_at
