Command line: check configuration

Configurations could only be checked by sending them. The command prints the findings and what differs from the version in force, as text or JSON. Exit code 1 tells that there are warnings only, 2 that there are errors. Keys are counted and never printed.

The mutant that allows shared keys fails tests/test_mesh_document_check.py.

--- a/beryldrum/cli.py
+++ b/beryldrum/cli.py
@@ -1,7 +1,7 @@
 """The ``beryldrum`` command: operator commands and the node daemon.
 
-Exit codes: 0 success, 1 failure, 2 usage error or invalid file, 3 conflict,
-4 unknown outcome, 5 log or node unreachable.
+Exit codes: 0 success, 1 failure or warnings only, 2 usage error or invalid file,
+3 conflict, 4 unknown outcome, 5 log or node unreachable.
 """
 
 import argparse
@@ -39,14 +39,15 @@
 examples:
   beryldrum node --settings host.yaml
   beryldrum check document payments.yaml
+  beryldrum check configuration next.json --in-force current.json
   beryldrum apply payments.yaml --log http://10.0.0.9:7000
   beryldrum key give remenar-01 --log http://10.0.0.9:7000
   beryldrum status --node http://127.0.0.1:7102 --watch
   beryldrum explain 9c41d07be2a35f68 host-a.log host-b.log
 
 exit codes:
-  0 success    1 failure           2 usage error or invalid file
-  3 conflict   4 unknown outcome   5 log or node unreachable
+  0 success    1 failure, warnings   2 usage error or invalid file
+  3 conflict   4 unknown outcome     5 log or node unreachable
 """
 
 Command = Callable[[argparse.Namespace], Awaitable[None]]
@@ -109,8 +110,15 @@
         "Validate files and print every problem found.",
         "check settings host.yaml",
     )
-    check.add_argument("kind", choices=("settings", "document", "mesh"))
+    check.add_argument("kind", choices=("settings", "document", "mesh", "configuration"))
     check.add_argument("files", nargs="+", metavar="FILE")
+    check.add_argument(
+        "--in-force",
+        default="",
+        metavar="FILE",
+        help="compare a configuration with the one in force",
+    )
+    _add_json_option(check)
 
     apply = _add_command(
         commands,
--- a/beryldrum/errors.py
+++ b/beryldrum/errors.py
@@ -9,6 +9,7 @@
     "AppendUnknownError",
     "BeryldrumError",
     "CertificateError",
+    "ConfigurationWarningsError",
     "ConflictError",
     "DocumentError",
     "FrameError",
@@ -45,6 +46,10 @@
     """A service document is invalid."""
 
 
+class ConfigurationWarningsError(BeryldrumError):
+    """The configuration of a fleet has warnings and no error."""
+
+
 class CertificateError(BeryldrumError):
     """A certificate or its key cannot be used."""
 
--- a/beryldrum/operations.py
+++ b/beryldrum/operations.py
@@ -13,6 +13,7 @@
 import sys
 import time
 import uuid
+from collections import Counter
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,7 @@
 from .cluster_state import ClusterState, rebuild_state
 from .errors import (
     BeryldrumError,
+    ConfigurationWarningsError,
     ConflictError,
     DocumentError,
     LogTruncatedError,
@@ -34,8 +36,11 @@
 )
 from .keyring import digest_of
 from .log import HttpLog, Log, append_confirmed
+from .mesh import document_check
 from .mesh import settings as mesh_settings
+from .mesh.document_check import Change, Draft, Finding, Severity
 from .mesh.request_trace import parse_lines, trace_request
+from .platform import documents
 
 __all__ = [
     "apply",
@@ -88,7 +93,15 @@
 
 
 async def check(args: argparse.Namespace) -> None:
-    """Validate files offline; raises DocumentError with the problems of all of them."""
+    """Validate files offline; raises DocumentError with the problems of all of them.
+
+    Raises ConfigurationWarningsError for configurations that have warnings only.
+    """
+    if args.kind == "configuration":
+        _check_configurations(args)
+        return
+    if args.in_force or args.json:
+        raise SettingsError(("--in-force and --json are for check configuration",))
     problems: list[str] = []
     for path in args.files:
         try:
@@ -105,6 +118,67 @@
         raise DocumentError(tuple(problems))
 
 
+def _read_draft(path: str) -> tuple[Draft | None, list[Finding]]:
+    return documents.read_draft(_read_text(path).encode())
+
+
+def _check_configurations(args: argparse.Namespace) -> None:
+    in_force = None
+    if args.in_force:
+        in_force, faults = _read_draft(args.in_force)
+        if in_force is None or faults:
+            raise DocumentError(tuple(_finding_text(args.in_force, fault) for fault in faults))
+    counts: Counter[Severity] = Counter()
+    for path in args.files:
+        draft, faults = _read_draft(path)
+        findings = list(faults)
+        changes: list[Change] = []
+        if draft is not None:
+            findings += document_check.check(draft)
+        if draft is not None and in_force is not None:
+            findings += document_check.check_version(draft, in_force)
+            # A row that cannot be decoded would be told as removed.
+            changes = [] if faults else document_check.compare(draft, in_force)
+        counts.update(finding.severity for finding in findings)
+        lines = [_finding_text(path, finding) for finding in findings] or [f"{path}: good"]
+        _print_result(
+            args,
+            "\n".join(lines + [_change_text(change) for change in changes]),
+            file=path,
+            findings=[
+                {
+                    "severity": finding.severity,
+                    **documents.record_place(finding.place),
+                    "message": finding.message,
+                }
+                for finding in findings
+            ],
+            changes=[documents.record_change(change) for change in changes],
+        )
+    errors, warnings = counts[Severity.ERROR], counts[Severity.WARNING]
+    if errors:
+        raise DocumentError((f"{errors} errors, {warnings} warnings",))
+    if warnings:
+        raise ConfigurationWarningsError(f"{warnings} warnings")
+
+
+def _finding_text(path: str, finding: Finding) -> str:
+    place = documents.record_place(finding.place)
+    row = f" row {place['row']}" if place["row"] else ""
+    field = f" {place['field']}" if place["field"] else ""
+    return f"{path}: {finding.severity}: {place['table']}{row}{field}: {finding.message}"
+
+
+def _change_text(change: Change) -> str:
+    fields = documents.record_change(change)
+    place = " ".join(filter(None, (fields["table"], change.name, fields["field"])))
+    if change.field == "keys":
+        return f"changed  {place}: {change.before} removed, {change.after} added"
+    if change.field:
+        return f"changed  {place}: {json.dumps(fields['before'])} -> {json.dumps(fields['after'])}"
+    return f"{change.kind:7}  {place}"
+
+
 async def explain(args: argparse.Namespace) -> None:
     """Print the log lines of a request; raises RequestNotLoggedError if there are none."""
     lines = [
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -1115,6 +1115,13 @@
         "        pass\n",
         LIMITS + "HeadLimitTest::test_a_lost_connection_stays_in_memory_until_the_collector_runs",
     ),
+    Mutant(
+        "mesh: a key that two organisations share is an error of the configuration",
+        "mesh/document_check.py",
+        "            if owner != number:\n",
+        "            if False:\n",
+        "tests/test_mesh_document_check.py::DocumentCheckTest",
+    ),
 )
 
 
