--- a/beryldrum/mesh/checks.py
+++ b/beryldrum/mesh/checks.py
@@ -106,6 +106,9 @@
     A request is refused as a whole, before its first hop. Callers that return after a
     refusal are preferred to others of the same ranks. ``run_s`` returns the time that a run
     of a route takes.
+
+    For lack of retries, a request is refused only if its caller can still return in time:
+    otherwise it may complete by chance, and refused it never will.
     """
 
     def __init__(
@@ -124,9 +127,13 @@
         if pending.priority < COHORTS:
             return pending
         route, left_ms = pending.route, pending.metadata.left_ms
+        services, called = self._services(route), self._called(route)
         if self._returns.is_returning(route, left_ms):
             pending = pending._replace(priority=preferred(pending.priority))
-        services, called = self._services(route), self._called(route)
+            # Most callers return only once.
+            called = ()
+        elif called and not self._returns.has_room(route, left_ms, self._run_s(route)):
+            called = ()
         if self._admission.admits(pending.priority, services, called):
             return pending
         if all(self._admission.has_target(name) for name in services):
--- a/beryldrum/mesh/returns.py
+++ b/beryldrum/mesh/returns.py
@@ -168,6 +168,10 @@
         self._expect(int((now_ms + delay_ms) / SLOT_MS))
         return int(delay_ms)
 
+    def has_room(self, route: Route, left_ms: int, run_s: float) -> bool:
+        """Tell whether a caller that is refused can return and be answered in time."""
+        return self._room_ms(route, left_ms, run_s * 1000) >= MIN_ROOM_MS
+
     def _room_ms(self, route: Route, left_ms: int, run_ms: float) -> float:
         return min(
             left_ms * MAX_CALLER_SHARE,
