Mesh: an evicted connection does not wait for its client

An evicted connection is no longer swept. With up to 4 KB in its write buffer, for which writes are not paused, its unsent bytes were taken for 0 and it was closed only after the client had read them, which may be never: descriptor and memory were not released. The buffer itself is looked at now. The new test fails without the change.

--- a/beryldrum/mesh/http_connection.py
+++ b/beryldrum/mesh/http_connection.py
@@ -510,7 +510,8 @@
         return self._used, self.active_at
 
     def evict(self) -> None:
-        if self._unsent:
+        # Nothing looks after the connection any more, so it must not wait for its client.
+        if self.unsent_bytes():
             self._abort()
         else:
             self.close()
--- a/tests/test_mesh_client_limits.py
+++ b/tests/test_mesh_client_limits.py
@@ -248,6 +248,18 @@
         conn.sweep(time.monotonic() + 17.0)
         self.assertTrue(transport.aborted)
 
+    async def test_an_evicted_connection_waits_for_its_client(self):
+        self.body = b""
+        conn, transport = await self.connect()
+        transport.unsent = 0
+        conn.resume_writing()
+        # A few bytes, fewer than those that pause the writes.
+        transport.unsent = 100
+        conn.evict()
+        self.assertTrue(transport.aborted)
+        conn.connection_lost(None)
+        self.assertEqual(0, self.memory.reserved)
+
     async def test_a_body_that_stops_short_keeps_ordinary_requests_out(self):
         self.body = b""
         head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 80000\r\n\r\n"
