Mesh: a request is handed only to the target that it was admitted for

A request that may run once is handed over by a task of its own, which runs one round of the event loop after the last check of the target. If the target left, was evacuated or was replaced in that round, it got the request all the same; a new start got it without counting it at its gate and its cold limit. The check is made where the request is handed over. The new test fails without the change.

--- a/beryldrum/mesh/local_target.py
+++ b/beryldrum/mesh/local_target.py
@@ -290,11 +290,6 @@
             if reason is not None:
                 wait_ms = self._refusal_retry_after_ms(reason) or self._retry_after_ms(gate)
                 return not_run(reason, wait_ms)
-        if gate is not self._gate or self._refusal(run.service) is not None:
-            gate.abandon()
-            self._dispatch(gate)
-            refusal = self._refusal(run.service) or request.NO_TARGET
-            return not_run(refusal, self._refusal_retry_after_ms(refusal))
         if run.idempotent:
             return await self._hand_over(gate, run, deadline)
         task = asyncio.create_task(self._hand_over(gate, run, deadline))
@@ -320,6 +315,12 @@
         return reason
 
     async def _hand_over(self, gate: Gate[Waiter], run: Run, deadline: float) -> Reply:
+        # The target may have changed since the request was admitted, also before this task ran.
+        if gate is not self._gate or self._refusal(run.service) is not None:
+            gate.abandon()
+            self._dispatch(gate)
+            refusal = self._refusal(run.service) or request.NO_TARGET
+            return not_run(refusal, self._refusal_retry_after_ms(refusal))
         started = self._clock.now()
         self._on_run(run.route)
         kind = "call" if is_call(run.priority) else "retry" if run.is_retry else "first"
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -1122,6 +1122,20 @@
         "            if False:\n",
         "tests/test_mesh_document_check.py::DocumentCheckTest",
     ),
+    Mutant(
+        "mesh: an evicted connection does not wait for its client",
+        "mesh/http_connection.py",
+        "        if self.unsent_bytes():\n            self._abort()\n        else:\n",
+        "        if self._unsent:\n            self._abort()\n        else:\n",
+        LIMITS + "HeldMemoryTest::test_an_evicted_connection_waits_for_its_client",
+    ),
+    Mutant(
+        "mesh: a request is handed to the target that it was admitted for",
+        "mesh/local_target.py",
+        "        if gate is not self._gate or self._refusal(run.service) is not None:\n",
+        "        if False:\n",
+        "tests/test_mesh_departures.py::HandoverTest",
+    ),
 )
 
 
--- a/tests/test_mesh_departures.py
+++ b/tests/test_mesh_departures.py
@@ -9,8 +9,10 @@
 from parameterized import parameterized
 from testtools import TestCase
 
+from beryldrum import request
 from beryldrum.clock import ManualClock
 from beryldrum.errors import LogDownError
+from beryldrum.mesh.frames import Run
 from beryldrum.mesh.local_target import UNCONFIRMED_S, LocalTarget
 from beryldrum.mesh.store import Departures
 from beryldrum.mesh.target import DRAINING, READY, Announcement, AnnouncementTracker
@@ -19,6 +21,7 @@
 
 from .mesh_fleet import Fleet, call, until
 
+BEAT = Announcement("i-1", "shop", "127.0.0.1:1", "dc0", 4, READY, 1, 0.0, 100)
 DEREGISTER = "/rpc?call=instances.deregister&of="
 MEMBERS_TOPIC = "keyed.beryldrum-nodes"
 
@@ -254,6 +257,33 @@
         self.assertTrue(self.in_use)
 
 
+class HandoverTest(unittest.IsolatedAsyncioTestCase):
+    """The target changes after a request was admitted and before it is handed over."""
+
+    @parameterized.expand(
+        [
+            ("it leaves", lambda target: target.deregister("i-1"), request.LEAVING),
+            ("evacuated", lambda target: target.evacuate(True), request.EVACUATED),
+            ("restarted", lambda target: target.heartbeat(BEAT._replace(born_ms=200)), None),
+        ]
+    )
+    async def test_a_request_that_may_run_once_reaches_it_all_the_same(self, _, change, reason):
+        adapter = mock.Mock(request_id_header=b"", handover_headers=lambda handover: b"")
+        target = LocalTarget(ManualClock(), adapter, mock.Mock(), mock.Mock())
+        target.departures_known = True
+        target.heartbeat(BEAT)
+        gate = target._gate
+        run = Run(1, "shop", "POST", "/", b"", b"x", "", 5, 1000, 1000, "r", False, "book")
+        running = asyncio.create_task(target.run(run))
+        # The request has been admitted, and the task that hands it over has not run yet.
+        await asyncio.sleep(0)
+        self.assertEqual(1, gate.in_flight)
+        change(target)
+        reply = await running
+        self.assertEqual((reason or request.NO_TARGET).type, reply.reason)
+        self.assertEqual((0, 0), (sum(target.handed.values()), gate.in_flight))
+
+
 class DeparturesTest(TestCase):
     """What is recorded."""
 
