Mesh: a read counts as settled only if it was asked for after that

Whether the restored store had again what the operator had written was looked up when the answer came. A read from before that time, answered up to a second later, ended an evacuation which the operator had written again meanwhile, and confirmed an old configuration in a new process. The time at which the read was asked for counts now; the store is read again anyway once it is settled. The new test fails without the change.

--- a/beryldrum/mesh/follow.py
+++ b/beryldrum/mesh/follow.py
@@ -213,11 +213,11 @@
         """
         changed = False
         if watch.evacuations is not None:
-            changed = self._evacuations.observe(watch.evacuations, self._era.settled)
+            changed = self._evacuations.observe(watch.evacuations, self._era.settled_at(asked_at))
         version = self._configuration.version
         if watch.text is not None:
             self._stored_version = self._apply(watch.text, asked_at, "store")
-        elif self._stored_version >= 0 and self._era.confirms:
+        elif self._stored_version >= 0 and self._era.confirms_at(asked_at):
             self._configuration.confirm(self._stored_version, asked_at + watch.waited_s)
         changed = changed or self._configuration.version != version
         if changed:
@@ -309,7 +309,7 @@
         except DocumentError as exc:
             self._explainer.event("configuration refused", source=source, error=str(exc))
             return -1
-        if source == "store" and not self._era.confirms:
+        if source == "store" and not self._era.confirms_at(confirmed_at):
             # A newer one may have been lost with the store's last records.
             confirmed_at = NEVER
         if self._configuration.apply(doc, text, confirmed_at):
--- a/beryldrum/mesh/store_era.py
+++ b/beryldrum/mesh/store_era.py
@@ -32,16 +32,24 @@
 
     @property
     def confirms(self) -> bool:
-        """Whether a configuration that the store shows is known to be the newest.
+        """Whether a configuration that the store shows is known to be the newest."""
+        return self.confirms_at(self._clock.now())
+
+    def confirms_at(self, asked_at: float) -> bool:
+        """Tell whether a configuration read at ``asked_at`` is known to be the newest.
 
         A process that has just started can't tell whether a newer one was lost.
         """
-        return self.settled or not self._began_before
+        return self.settled_at(asked_at) or not self._began_before
 
     @property
     def settled(self) -> bool:
         """Whether the store has all that the operator has written."""
-        return self._clock.now() >= self._settles_at
+        return self.settled_at(self._clock.now())
+
+    def settled_at(self, asked_at: float) -> bool:
+        """Tell whether it had that for a read that was asked for at ``asked_at``."""
+        return asked_at >= self._settles_at
 
     def observe(self, number: int) -> None:
         """Note the era of an answer of the store.
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -1136,6 +1136,13 @@
         "        if False:\n",
         "tests/test_mesh_departures.py::HandoverTest",
     ),
+    Mutant(
+        "mesh: a read asked for before the era is settled ends no evacuation",
+        "mesh/store_era.py",
+        "        return asked_at >= self._settles_at\n",
+        "        return self._clock.now() >= self._settles_at\n",
+        "tests/test_mesh_evacuation.py::StoreEraTest",
+    ),
 )
 
 
--- a/tests/test_mesh_evacuation.py
+++ b/tests/test_mesh_evacuation.py
@@ -13,7 +13,9 @@
 from beryldrum.mesh import store_era, summaries
 from beryldrum.mesh.client import Pool, Response
 from beryldrum.mesh.evacuation import MAX_ENTRIES, EvacuationRead, Evacuations
+from beryldrum.mesh.follow import Follower
 from beryldrum.mesh.frames import Evacuation
+from beryldrum.mesh.store import Watch
 from beryldrum.mesh.store_era import SETTLE_S, StoreEra
 from beryldrum.platform import store as platform_store
 from tests.mesh_fleet import Fleet, config, until
@@ -201,6 +203,22 @@
         era.settle(3)
         self.assertTrue(era.settled and era.confirms)
 
+    @parameterized.expand([("before it was settled", -0.5, True), ("after that", 0.5, False)])
+    def test_a_slow_answer_of_a_restored_store_ends_an_evacuation(self, _, asked_s, evacuated):
+        clock, evacuations = ManualClock(), Evacuations()
+        era = StoreEra(clock)
+        era.observe(0)
+        evacuations.observe(read(9, {"dc1": (ON, 5)}), True)
+        era.observe(1)
+        clock.advance(SETTLE_S + 1.0)
+        parts = [mock.MagicMock() for _ in range(6)]
+        follower = Follower(
+            clock, *parts, mock.Mock(), 4.6, lambda: 1.25, evacuations=evacuations, era=era
+        )
+        # The operator wrote the evacuation again after this was read.
+        follower._take(Watch(None, 3, 0.0, read(3, era=1), 1), clock.now() - 1.0 + asked_s)
+        self.assertEqual(evacuated, evacuations.evacuated("dc1"))
+
 
 class RestoredStoreTest(TestCase):
     """A large fleet in virtual time, whose store goes back to an older copy."""
