Mesh: a run's times are reduced by the wait for its connection

A request to a node without an open connection waits up to 0.3 s for one. The target then got the time that was left before the wait, and the entry waited for as long again, beyond the caller's deadline and, during a stop, beyond the time for which the node runs. The wait is subtracted; a request whose time is over by then was not sent.

--- a/beryldrum/mesh/node.py
+++ b/beryldrum/mesh/node.py
@@ -424,8 +424,17 @@
 
         Opens an on-demand connection if none is open. Raises PeerLostError and TimeoutError.
         """
+        asked_at = self.clock.now()
         link = await self._open_link(peer, left_s)
-        return await link.request(message, left_s)
+        waited_s = self.clock.now() - asked_at
+        if waited_s >= left_s:
+            raise PeerLostError(peer.member.address, sent=False)
+        if isinstance(message, Run):
+            # Its times count from when it is sent.
+            waited_ms = round(waited_s * 1000)
+            message.left_ms = max(0, message.left_ms - waited_ms)
+            message.due_ms -= waited_ms
+        return await link.request(message, left_s - waited_s)
 
     async def _open_link(self, peer: Peer, left_s: float) -> Link:
         """Return the connection to a node; raises PeerLostError if there is none."""
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -1143,6 +1143,13 @@
         "        return self._clock.now() >= self._settles_at\n",
         "tests/test_mesh_evacuation.py::StoreEraTest",
     ),
+    Mutant(
+        "mesh: a target gets no time that was spent on opening a connection",
+        "mesh/node.py",
+        "            message.left_ms = max(0, message.left_ms - waited_ms)\n",
+        "",
+        REQUESTS + "test_a_target_gets_the_time_that_a_new_connection_took",
+    ),
 )
 
 
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -180,6 +180,24 @@
                 # A request that is not idempotent runs to its end.
                 self.assertEqual(0, shop.target.disconnects)
 
+    async def test_a_target_gets_the_time_that_a_new_connection_took(self):
+        async with Fleet("shop", "stock") as fleet:
+            shop, stock = await fleet.serve()
+            open_link = stock.node._open_link
+
+            async def open_slowly(peer, left_s):
+                await asyncio.sleep(0.25)
+                return await open_link(peer, left_s)
+
+            stock.node._open_link = open_slowly
+            self.assertEqual(200, (await stock.ask(left_ms=2000)).status)
+            (run,) = shop.target.runs
+            self.assertLessEqual(int(run["x-deadline-milliseconds"]), 1750)
+            # One that is over by then has not been sent.
+            response = await stock.ask("/book/1", "POST", body=b"x", left_ms=200)
+            self.assertEqual(503, response.status)
+            self.assertEqual(1, len(shop.target.runs))
+
     async def test_a_fault_of_ours_is_answered(self):
         async with Fleet("shop", "stock") as fleet:
             shop, stock = await fleet.serve()
