Mesh: a target that has told whether it is cold is not asked for that

A health check that waited for room at the limit was sent also if a heartbeat had ended the doubt meanwhile. It is charged for and uses a request of the limit. The new test fails without the change.

--- a/beryldrum/mesh/cold_watch.py
+++ b/beryldrum/mesh/cold_watch.py
@@ -132,8 +132,9 @@
     async def _ask(self, target: Announcement, limit: ColdLimit, pool: Pool, path: str) -> None:
         delay_s = HEALTH_RETRY_MIN_S
         while limit.doubted:
-            while not limit.has_room():
+            if not limit.has_room():
                 await asyncio.sleep(ROOM_POLL_S)
+                continue
             if await self._ask_once(target, limit, pool, path):
                 return
             await asyncio.sleep(delay_s)
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -1150,6 +1150,15 @@
         "",
         REQUESTS + "test_a_target_gets_the_time_that_a_new_connection_took",
     ),
+    Mutant(
+        "mesh: no health check is paid for once a target has told whether it is cold",
+        "mesh/cold_watch.py",
+        "            if not limit.has_room():\n                await asyncio.sleep(ROOM_POLL_S)\n"
+        "                continue\n",
+        "            while not limit.has_room():\n"
+        "                await asyncio.sleep(ROOM_POLL_S)\n",
+        COLD + "HealthCheckTest",
+    ),
 )
 
 
--- a/tests/test_mesh_cold_start.py
+++ b/tests/test_mesh_cold_start.py
@@ -13,6 +13,7 @@
 from beryldrum.clock import ManualClock
 from beryldrum.mesh.client import Response
 from beryldrum.mesh.cold_start import HEARTBEAT_DELAY_S, ColdLimit, ColdPolicy, ColdRate
+from beryldrum.mesh.cold_watch import ColdWatch
 from beryldrum.mesh.document import Service
 from beryldrum.mesh.frames import Load
 from beryldrum.mesh.gate import Admission, Gate, RunRequest
@@ -206,6 +207,24 @@
         self.assertEqual(expected, PlatformAdapter().target_health(response))
 
 
+class HealthCheckTest(unittest.IsolatedAsyncioTestCase):
+    """A health check that waits for room at the limit."""
+
+    async def test_a_target_that_has_told_is_asked_all_the_same(self):
+        watch = ColdWatch(ManualClock(), mock.Mock(), mock.Mock(), None, mock.Mock())
+        limit, pool = mock.Mock(spec=ColdLimit, doubted=True), mock.AsyncMock()
+        looked = itertools.count()
+
+        def has_room():
+            # Its heartbeat ends the doubt while the check waits.
+            limit.doubted = False
+            return next(looked) > 0
+
+        limit.has_room = has_room
+        await watch._ask(mock.Mock(address="a:1"), limit, pool, HEALTH_PATH)
+        pool.request.assert_not_called()
+
+
 class ColdGateTest(TestCase):
     """The gate of a cold target: the stricter limit, the reported load, the Retry-After."""
 
