Mesh: requests after a pause are not refused for an overload that is over

The share that an entry admits rises with its requests only. A service that is still full is not concerned. The new test fails without the change.

--- a/beryldrum/mesh/admission.py
+++ b/beryldrum/mesh/admission.py
@@ -43,6 +43,9 @@
 MIN_CORRECTION, MAX_CORRECTION = 0.3, 1.25
 """Bounds of the correction. An idle service may only just have lost its requests, so
 admission rises slowly."""
+IDLE_S = 5.0
+"""Time without a request after which the share admitted before says nothing about a service
+that has room. It rises with requests only, and would refuse some after any pause."""
 
 MIN_ADMITTED_SHARE = 0.05
 """Minimum share that is admitted, so that the end of an overload is noticed."""
@@ -171,14 +174,15 @@
         return priority < arrivals.threshold
 
     def _update(self) -> None:
-        self._updated_at = self._clock.now()
+        now = self._clock.now()
+        idle, self._updated_at = now - self._updated_at >= IDLE_S, now
         for service, arrivals in self._services.items():
             full = self._load(service)
             if full is None:
                 arrivals.set_share(MIN_ADMITTED_SHARE)
             else:
-                if not arrivals.had_target:
-                    # The share refused without a target says nothing about capacity now.
+                if not arrivals.had_target or (idle and full < LOAD_SETPOINT):
+                    # The share refused before says nothing about capacity now.
                     arrivals.admitted = arrivals.offered
                 ratio = LOAD_SETPOINT / max(0.01, full)
                 correction = min(MAX_CORRECTION, max(MIN_CORRECTION, ratio**CORRECTION_EXPONENT))
--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -1159,6 +1159,13 @@
         "                await asyncio.sleep(ROOM_POLL_S)\n",
         COLD + "HealthCheckTest",
     ),
+    Mutant(
+        "mesh: requests after a pause are not refused for an overload that is over",
+        "mesh/admission.py",
+        " or (idle and full < LOAD_SETPOINT):\n",
+        ":\n",
+        MESH + "AdmissionTest",
+    ),
 )
 
 
--- a/tests/test_mesh_overload.py
+++ b/tests/test_mesh_overload.py
@@ -169,6 +169,24 @@
         self.assertEqual(0, refused["wide"])
         self.assertGreater(refused["narrow"], 500)
 
+    @parameterized.expand([("has room", 0.1, True), ("is full", 3.0, False)])
+    def test_requests_after_a_pause_are_refused_for_what_was(self, _, later, all_admitted):
+        clock, full = ManualClock(), {"shop": 3.0}
+        admission = AdmissionController(clock, random.Random(1), full.__getitem__)
+
+        def refused():
+            count = 0
+            for _ in range(100):
+                clock.advance(0.005)
+                count += not admission.admits(170, ("shop",))
+            return count
+
+        for _ in range(8):
+            refused()
+        full["shop"] = later
+        clock.advance(60.0)
+        self.assertEqual(all_admitted, refused() == 0)
+
     @parameterized.expand([("short of room", 3.0), ("without targets", None)])
     def test_requests_to_a_service_beside_the_full_one_are_admitted(self, _, narrow):
         clock = ManualClock()
