--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -1122,6 +1122,50 @@
         "            if False:\n",
         "tests/test_mesh_document_check.py::DocumentCheckTest",
     ),
+    Mutant(
+        "mesh: an evicted connection does not wait for its client",
+        "mesh/http_connection.py",
+        "        if self.unsent_bytes():\n            self._abort()\n        else:\n",
+        "        if self._unsent:\n            self._abort()\n        else:\n",
+        LIMITS + "HeldMemoryTest::test_an_evicted_connection_waits_for_its_client",
+    ),
+    Mutant(
+        "mesh: a request is handed to the target that it was admitted for",
+        "mesh/local_target.py",
+        "        if gate is not self._gate or self._refusal(run.service) is not None:\n",
+        "        if False:\n",
+        "tests/test_mesh_departures.py::HandoverTest",
+    ),
+    Mutant(
+        "mesh: a read asked for before the era is settled ends no evacuation",
+        "mesh/store_era.py",
+        "        return asked_at >= self._settles_at\n",
+        "        return self._clock.now() >= self._settles_at\n",
+        "tests/test_mesh_evacuation.py::StoreEraTest",
+    ),
+    Mutant(
+        "mesh: a target gets no time that was spent on opening a connection",
+        "mesh/node.py",
+        "            message.left_ms = max(0, message.left_ms - waited_ms)\n",
+        "",
+        REQUESTS + "test_a_target_gets_the_time_that_a_new_connection_took",
+    ),
+    Mutant(
+        "mesh: no health check is paid for once a target has told whether it is cold",
+        "mesh/cold_watch.py",
+        "            if not limit.has_room():\n                await asyncio.sleep(ROOM_POLL_S)\n"
+        "                continue\n",
+        "            while not limit.has_room():\n"
+        "                await asyncio.sleep(ROOM_POLL_S)\n",
+        COLD + "HealthCheckTest",
+    ),
+    Mutant(
+        "mesh: requests after a pause are not refused for an overload that is over",
+        "mesh/admission.py",
+        " or (idle and full < LOAD_SETPOINT):\n",
+        ":\n",
+        MESH + "AdmissionTest",
+    ),
 )
 
 
