Soak: evacuations, cold targets and pipelined requests

The soak did not exercise the operator's evacuations, slow start and pipelining. It now evacuates data centres and takes them back, starts targets cold, and has a caller on each host that sends three safe requests at once. The checker reports requests that start in an evacuated data centre after 5 s, too many requests in a second at a cold target, answers out of order, and targets that stay unused after all faults.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -4,7 +4,7 @@
 from collections import Counter, deque
 from typing import NamedTuple
 
-__all__ = ["Checker", "ReceivedRequest", "SentRequest"]
+__all__ = ["Checker", "ReceivedRequest", "SentRequest", "data_centre"]
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that the request has not been executed and never will be."""
@@ -12,6 +12,8 @@
 KEY_REVOCATION_S = 5.0
 TARGET_DRAIN_S = 2.0
 CONFIG_UPDATE_S = 2.0
+EVACUATION_S = 5.0
+COLD_WINDOW_S = 1.0
 STORE_FAULT_EXTRA_S = 5.0
 """Extra time that a configuration may take to come into force while the store is faulty."""
 
@@ -28,6 +30,11 @@
 """Time since a host passed on a limit after which its requests count against it."""
 
 
+def data_centre(host: str) -> str:
+    """Return the data centre of a host."""
+    return "dc" + host[-1]
+
+
 class SentRequest(NamedTuple):
     """A request that a caller sent; ``service`` is the service of the caller's host."""
 
@@ -50,16 +57,18 @@
     headers: dict[str, str]
     body: bytes
     received_at: float
+    host: str = ""
 
 
 class Checker:
     """Records requests and responses and checks each one as it is reported.
 
     ``rate`` (requests per second) and ``burst`` (requests) are the limit of organisation
-    ``hot``. Violations are added to ``findings``. All times are those of `now`.
+    ``hot``; ``most_cold`` is the most requests that a cold target may get in any second.
+    Violations are added to ``findings``. All times are those of `now`.
     """
 
-    def __init__(self, rate: float, burst: float) -> None:
+    def __init__(self, rate: float, burst: float, most_cold: float = float("inf")) -> None:
         self.findings: list[str] = []
         self.outcome_counts: Counter[str] = Counter()
         self.sent_requests: dict[str, SentRequest] = {}
@@ -86,6 +95,12 @@
         self._max_hot_runs = (rate * RATE_WINDOW_S + burst) * 1.1 + 20
         self._hot_runs: deque[float] = deque()
         self._refusals: dict[str, int] = {}
+        self.evacuated: dict[str, float] = {}
+        """When the present evacuation of each data centre was confirmed."""
+        self.host_runs: Counter[str] = Counter()
+        """Requests that the targets of each host started."""
+        self._most_cold = most_cold
+        self._cold_arrivals: dict[str, deque[float]] = {}
 
     def add_finding(self, violation: str, **details: object) -> None:
         """Add a violation to the findings."""
@@ -145,6 +160,7 @@
             self.add_finding("runs what nobody asked for", id=request_id, path=received.path)
             return
         self.run_counts[request_id] += 1
+        self.host_runs[received.host] += 1
         if not req.idempotent and self.run_counts[request_id] > 1:
             self.add_finding("runs twice", id=request_id)
         if "authorization" in headers:
@@ -163,11 +179,44 @@
                 "request sent to a draining target", id=request_id, after_s=round(draining_for_s, 2)
             )
         self._check_statements(req, received)
+        self._check_evacuation(req, received)
         if req.path.startswith("/move/"):
             self._check_route(req, received)
         if headers.get("x-tenant") == "hot":
             self._check_rate(received.received_at)
 
+    def _check_evacuation(self, req: SentRequest, received: ReceivedRequest) -> None:
+        """Check that the entry did not choose, and the gate did not admit."""
+        evacuated_at = self.evacuated.get(data_centre(received.host or " "), float("inf"))
+        if req.sent_at <= evacuated_at + EVACUATION_S or not self.is_healthy("store", req.sent_at):
+            return
+        hosts = {req.host, received.host}
+        if any(self.is_healthy(host, req.sent_at) for host in hosts):
+            self.add_finding(
+                "request sent to an evacuated data centre",
+                id=req.request_id,
+                entry=req.host,
+                gate=received.host,
+                after_s=round(req.sent_at - evacuated_at, 2),
+            )
+
+    def check_cold_arrival(self, target: str) -> None:
+        """Check a request or health check that a cold target gets; one answered 421 is none."""
+        at = self.now()
+        arrivals = self._cold_arrivals.setdefault(target, deque())
+        arrivals.append(at)
+        while arrivals[0] <= at - COLD_WINDOW_S:
+            arrivals.popleft()
+        if len(arrivals) > self._most_cold:
+            self.add_finding("too many requests to a cold target", target=target, n=len(arrivals))
+            arrivals.clear()
+
+    def check_order(self, req: SentRequest, headers: dict[bytes, bytes]) -> None:
+        """Check that a response belongs to the request whose turn it is."""
+        answered = headers.get(b"x-request-id", req.request_id.encode()).decode()
+        if answered != req.request_id:
+            self.add_finding("response out of order", id=req.request_id, answered=answered)
+
     def _check_rate(self, at: float) -> None:
         self._hot_runs.append(at)
         while self._hot_runs[0] < at - RATE_WINDOW_S:
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -20,13 +21,14 @@
 from harness.ports import free_address
 
 from .caller import VIRTUAL_HOST, Caller, Connection
-from .checker import Checker
+from .checker import EVACUATION_S, Checker, data_centre
 from .proxy import LinkFault, Proxy
-from .target import Target
+from .target import COLD_START_S, HEALTH_PATH, Target
 
 __all__ = ["Scenario"]
 
 RATE, BURST = 40.0, 40.0
+COLD_PER_S, COLD_OVERSHOOT, COLD_SLACK = 10.0, 1.5, 4.0
 STOP_TIMEOUT_S = 6.0
 SERVICES = ("shop", "stock", "shop")
 FAULT_MODES = (
@@ -63,9 +65,11 @@
         """Start the node process with its wall clock offset by ``clock_ms``."""
         self.was_ready = False
         path = self.folder / f"{self.name}.yaml"
-        extra = {"name": self.name, "data_centre": "dc" + self.name[-1], "service": self.service}
+        extra = {"name": self.name, "data_centre": data_centre(self.name)}
+        extra["service"] = self.service
+        cold = {"cold_rate_overshoot": COLD_OVERSHOOT, "cold_rate_slack": COLD_SLACK}
         path.write_text(
-            yaml.safe_dump(self.cfg | extra | {"memory_mb": 200, "stop_s": STOP_TIMEOUT_S})
+            yaml.safe_dump(self.cfg | extra | cold | {"memory_mb": 200, "stop_s": STOP_TIMEOUT_S})
         )
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
@@ -93,7 +97,7 @@
         self._plan_rng = random.Random(f"plan {seed}")
         """Separate from the traffic generator, so that a seed always gives the same fault plan."""
         self.folder = Path(folder or tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        self.checker = Checker(RATE, BURST)
+        self.checker = Checker(RATE, BURST, COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK)
         self.store = PlatformStandin()
         self.hosts = [
             Host(f"h{number}", SERVICES[number % len(SERVICES)], self.folder)
@@ -162,6 +166,7 @@
                     (lambda: 0.1 / self._hot_rate_factor) if hot else (lambda: 0.08),
                     self._was_killed,
                     (lambda _: True) if persistent else self._is_ready,
+                    pipelines=number == 3,
                 )
                 self._spawn(caller.run())
 
@@ -227,7 +232,10 @@
         document = {
             "version": self._version,
             "routes": {"columns": columns, "rows": rows},
-            "services": {"columns": ["name"], "rows": [["shop"], ["stock"]]},
+            "services": {
+                "columns": ["name", "health_path", "cold_start_s", "cold_per_s"],
+                "rows": [[name, HEALTH_PATH, COLD_START_S, COLD_PER_S] for name in set(SERVICES)],
+            },
             "tenants": {
                 "columns": ["name", "api_keys", "priority", "requests_per_s", "burst"],
                 "rows": organisations,
@@ -327,12 +335,14 @@
     async def restore_store(self, host: Host, seconds: float) -> None:
         """Restore the store from a snapshot that is some seconds old.
 
-        The operator writes the configuration again a little later if it was lost.
+        The operator writes again a little later what was lost: the configuration, with the
+        keys withdrawn since, and the evacuations that began or ended since.
         """
         if "store" in self._restarting:
             return
         self._restarting.add("store")
         snapshot, document = self.store.snapshot(), self._document
+        evacuated = dict(self.checker.evacuated)
         await asyncio.sleep(min(4.0, seconds))
         outage_s, rewrite_s = self.rng.uniform(0.1, 1.0), self.rng.uniform(0.0, 2.0)
         self._mark_faulty("store", outage_s + rewrite_s)
@@ -343,6 +353,13 @@
         await asyncio.sleep(rewrite_s)
         if self._document != document:
             self.store.publish(self._document)
+        now_evacuated = self.checker.evacuated
+        for name in evacuated.keys() | now_evacuated.keys():
+            if evacuated.get(name) != now_evacuated.get(name):
+                self.store.evacuate(name, b"{}" if name in now_evacuated else b"")
+                if name in now_evacuated:
+                    # A node may not have read the record before it was lost.
+                    now_evacuated[name] = self.checker.now()
         self._restarting.discard("store")
 
     async def mood(self, host: Host, seconds: float) -> None:
@@ -385,6 +402,26 @@
         self.publish()
         self.checker.withdrawn[key] = self.checker.added[new_key] = self.checker.now()
 
+    async def evacuate(self, host: Host, seconds: float) -> None:
+        """Evacuate the data centre of a host for longer than an evacuation takes to bind.
+
+        Its targets are cold afterwards, where nodes know of the evacuation: a node that had
+        a fault until now, or could not ask the store, has no reason to expect that.
+        """
+        name = data_centre(host.name)
+        if name in self.checker.evacuated:
+            return
+        self.store.evacuate(name)
+        self.checker.evacuated[name] = self.checker.now()
+        await asyncio.sleep(EVACUATION_S + seconds)
+        del self.checker.evacuated[name]
+        at = self.checker.now()
+        for target in self.targets.values():
+            healthy = all(self.checker.is_healthy(n, at) for n in (target.host, "store"))
+            if data_centre(target.host) == name and healthy:
+                target.become_cold()
+        self.store.evacuate(name, b"")
+
     async def move(self, host: Host, seconds: float) -> None:
         """Switch route ``move`` to the other service."""
         self._move_service = "stock" if self._move_service == "shop" else "shop"
@@ -404,7 +441,7 @@
         kinds: list[Callable[[Host, float], Awaitable[None]]] = [
             self.freeze, self.kill, self.stop, self.link, self.link, self.store_fault,
             self.restore_store, self.mood, self.replace, self.limit, self.limit, self.withdraw,
-            self.move, self.heat,
+            self.move, self.heat, self.evacuate, self.evacuate,
         ]  # fmt: skip
         until = self.checker.now() + seconds
         active: set[asyncio.Task[Any]] = set()
@@ -425,7 +462,7 @@
         await self._check_recovery()
 
     async def _check_recovery(self) -> None:
-        before = dict(self.checker.outcome_counts)
+        before, runs = dict(self.checker.outcome_counts), Counter(self.checker.host_runs)
         await asyncio.sleep(4.0)
         counts = {name: n - before.get(name, 0) for name, n in self.checker.outcome_counts.items()}
         # Requests over the rate limit need not be served. The denied counters repeat
@@ -435,6 +472,11 @@
         expected -= sum(counts.get(name, 0) for name in other_counts)
         if counts.get("200", 0) < 0.25 * expected or not expected:
             self.checker.add_finding("no recovery after the faults", counts=counts)
+        runs = self.checker.host_runs - runs
+        unused = [host.name for host in self.hosts if not runs[host.name]]
+        if unused:
+            # For example, an evacuation that ended is still in force somewhere.
+            self.checker.add_finding("targets unused after all faults", hosts=unused)
         not_ready = [host.name for host in self.hosts if not host.ready]
         if not_ready:
             self.checker.add_finding("nodes not ready after all faults", hosts=not_ready)
--- a/soak/target.py
+++ b/soak/target.py
@@ -14,11 +14,13 @@
 from .caller import Connection, response_body
 from .checker import Checker, ReceivedRequest, SentRequest
 
-__all__ = ["Target"]
+__all__ = ["COLD_START_S", "HEALTH_PATH", "Target"]
 
 HEARTBEAT_PERIOD_S = 1.5
 CONTROL_TIMEOUT_S = 1.0
 CALL_TIMEOUT_MS = 700
+COLD_START_S = 4.0
+HEALTH_PATH = "/_health"
 SIGNATURE = "X-Server-Signature: s\r\n"
 REFUSED = "X-Not-Executed: 1\r\n"
 REFUSAL_WITHOUT_ID = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -40,6 +42,8 @@
     - ``fail``: respond with 500
     - ``slow``: respond 0.4 s late
 
+    It is cold until ``cold_until``, which heartbeats and the health page state.
+
     Each response states ``rate_limit`` (requests per second) if set, and ``leaving``.
     """
 
@@ -68,18 +72,27 @@
         self.slots, self.running = 40, 0
         self.rate_limit: float | None = None
         self.leaving = False
+        self.cold_until = 0.0
 
     async def start(self) -> None:
         """Start a new incarnation, with a new target id, on the same address."""
         self.target_id = f"i-{self.address[-5:]}-{next(self._incarnations)}"
         self.born, self.state = int(self._rng.random() * 1000) + _wall_ms(), "ready"
         self.leaving = False
+        self.become_cold()
         self.limit_rate(None)
         self._sequence = itertools.count(1)
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
+    def become_cold(self) -> None:
+        """Be cold from now on, for as long as after a start."""
+        self.cold_until = _now() + COLD_START_S
+
+    def _cold_ms(self) -> int:
+        return max(0, int((self.cold_until - _now()) * 1000))
+
     def limit_rate(self, rate: float | None) -> None:
         """State a rate limit in all responses from now on, or none."""
         self.rate_limit = rate
@@ -115,7 +128,11 @@
 
     async def _call_control(self, method: str) -> bool:
         info = {"service": self.service, "version": "v1", "zone": "dc", "slots": self.slots}
-        status = {"state": self.state, "sequence": next(self._sequence), "cold_remaining_ms": 0}
+        status = {
+            "state": self.state,
+            "sequence": next(self._sequence),
+            "cold_remaining_ms": self._cold_ms(),
+        }
         report = {"address": self.address, "born": self.born, "information": info, "status": status}
         body = json.dumps(report).encode()
         conn = Connection(self._control)
@@ -160,13 +177,28 @@
         if expected != self.target_id:
             writer.write(_encode_response(421, request_id, b""))
             return
+        if _now() < self.cold_until:
+            self._checker.check_cold_arrival(self.target_id)
+        if call.url == HEALTH_PATH.encode():
+            if fault_mode:
+                writer.close()
+            else:
+                headers = f"X-Cold-Milliseconds: {self._cold_ms()}\r\n"
+                writer.write(self._encode(200, request_id, b"", headers))
+            return
         if fault_mode == "full" or self.running >= self.slots:
             writer.write(self._encode(503, request_id, b"", REFUSED))
             return
         if fault_mode == "stale" and kept:
             writer.write(REFUSAL_WITHOUT_ID)
         received = ReceivedRequest(
-            self.target_id, self.service, call.url.decode(), call.headers, call.body, _now()
+            self.target_id,
+            self.service,
+            call.url.decode(),
+            call.headers,
+            call.body,
+            _now(),
+            self.host,
         )
         self._checker.check_received(received)
         self.running += 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,15 @@
 """Tests of the soak's checker, and a short soak run with a fixed seed."""
 
 import asyncio
+import random
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 from testtools import TestCase
 
 from soak.__main__ import run_seed
+from soak.caller import Caller, Connection, Response, response_body
 from soak.checker import Checker, ReceivedRequest, SentRequest
 
 HEADERS = {
@@ -149,6 +152,121 @@
         self.assertEqual(findings, len(self.checker.findings), self.checker.findings)
 
 
+class EvacuationTest(TestCase):
+    """Requests that start in an evacuated data centre are found, unless a fault excuses them."""
+
+    @parameterized.expand(
+        [
+            # when the request is sent, hosts with a recent fault, findings
+            ("in force", 105.5, "", 1),
+            ("not in force yet", 104.9, "", 0),
+            ("the gate had a fault, the entry had none", 105.5, "h1", 1),
+            ("the entry had a fault, the gate had none", 105.5, "h0", 1),
+            ("both had a fault", 105.5, "h0 h1", 0),
+            ("the store had a fault", 105.5, "store", 0),
+        ]
+    )
+    def test_arrival(self, _, sent_at, faulty, findings):
+        checker = Checker(40, 40)
+        checker.key_owners["k"] = "mart"
+        checker.evacuated["dc1"] = 100.0
+        checker.faulty_until = dict.fromkeys(faulty.split(), 104.0)
+        checker.record_sent(sent_request(sent_at=sent_at))
+        checker.check_received(received_request(sent_at + 0.1)._replace(host="h1"))
+        self.assertEqual(findings, len(checker.findings), checker.findings)
+
+    def test_no_evacuation(self):
+        checker = Checker(40, 40)
+        checker.key_owners["k"] = "mart"
+        checker.evacuated["dc2"] = 0.0
+        checker.record_sent(sent_request())
+        checker.check_received(received_request()._replace(host="h1"))
+        self.assertEqual([], checker.findings)
+
+
+class ColdTest(TestCase):
+    """No more requests than the limit reach a cold target in any second."""
+
+    @parameterized.expand([("over", 0.24, 1), ("at the limit", 0.25, 0), ("slow", 0.5, 0)])
+    def test_rate(self, _, period_s, findings):
+        checker = Checker(40, 40, most_cold=4)
+        for number in range(5):
+            checker.now = lambda at=100.0 + number * period_s: at
+            checker.check_cold_arrival("i-1")
+            checker.check_cold_arrival("another") if number == 0 else None
+        self.assertEqual(findings, len(checker.findings), checker.findings)
+
+
+class PipelineTest(unittest.IsolatedAsyncioTestCase):
+    """Requests sent at once: answers in order, and none expected behind a close."""
+
+    async def pipeline(self, edit, was_killed=False):
+        """Send three requests that ran; ``edit`` changes their answers, in order."""
+        checker = Checker(40, 40)
+        caller = Caller(
+            checker, random.Random(1), "h0", "shop", "", lambda: "k", lambda: 0.0,
+            lambda *_: was_killed, lambda _: True, pipelines=True,
+        )  # fmt: skip
+
+        async def answer(data, count):
+            self.assertEqual(3, data.count(b"GET /"))
+            names = list(checker.sent_requests)
+            checker.run_counts.update(names)
+            signed = {b"x-server-signature": b"s"}
+            return edit(
+                [
+                    Response(200, signed | {b"x-request-id": n.encode()}, response_body(n), True)
+                    for n in names
+                ]
+            )
+
+        conn = mock.Mock(send_all=answer, encode_request=Connection.encode_request, spec=Connection)
+        await caller._send(conn)
+        return checker
+
+    @parameterized.expand(
+        [
+            ("as it should be", lambda a: a, False, ""),
+            ("another order", lambda a: [a[1], a[0], a[2]], False, "out of order"),
+            ("a body twice", lambda a: [a[0], a[1], a[2]._replace(body=a[1].body)], False,
+             "of another request"),
+            ("closed in between", lambda a: [a[0]], False, "lost without a fault"),
+            ("closed by a kill", lambda a: [a[0]], True, ""),
+            ("behind a close", lambda a: [a[0]._replace(keep_alive=False)], False, ""),
+        ]
+    )  # fmt: skip
+    async def test_answers(self, _, edit, was_killed, finding):
+        checker = await self.pipeline(edit, was_killed)
+        self.assertEqual(bool(finding), bool(checker.findings), checker.findings)
+        self.assertIn(finding, "".join(checker.findings))
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A connection reads several responses, up to one that closes."""
+
+    @parameterized.expand(
+        [("all", b"", [b"a", b"b"]), ("to a close", b"Connection: close\r\n", [b"a"])]
+    )
+    async def test_send_all(self, _, headers, bodies):
+        async def serve(reader, writer):
+            await reader.read(100)
+            first = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + headers + b"\r\na"
+            writer.write(
+                first + (b"" if headers else b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb")
+            )
+            await reader.read(100)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        conn = Connection(f"{host}:{port}")
+        async with asyncio.timeout(5):
+            responses = await conn.send_all(b"x", 2)
+        conn.close()
+        server.close()
+        self.assertEqual(bodies, [response.body for response in responses])
+
+
 class SoakTest(unittest.TestCase):
     """A run with real processes and the faults of a fixed seed; add seeds that ever failed."""
 
