--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -56,4 +56,11 @@
         6,
         "a node could not bind the port that a target of seed 401 had; the same cause",
     ),
+    Case(
+        9002,
+        20.0,
+        6,
+        "a target got no requests after all faults, and those at its gate were refused at their "
+        "deadline: nothing wakes a queue whose next start a stated limit has just come to allow",
+    ),
 )
