Soak: a store fault does not excuse leaving an evacuation that is in force

Store faults are so frequent in a run that they excused nearly all of the time that an evacuation lasts. Once it has been in force with a healthy store, nodes must keep it.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -99,6 +99,8 @@
         """When the present evacuation of each data centre was confirmed."""
         self.host_runs: Counter[str] = Counter()
         """Requests that the targets of each host started."""
+        self.in_force: set[str] = set()
+        """Evacuations known to be in force, which a fault of the store does not excuse."""
         self._most_cold = most_cold
         self._cold_arrivals: dict[str, deque[float]] = {}
 
@@ -187,8 +189,10 @@
 
     def _check_evacuation(self, req: SentRequest, received: ReceivedRequest) -> None:
         """Check that the entry did not choose, and the gate did not admit."""
-        evacuated_at = self.evacuated.get(data_centre(received.host or " "), float("inf"))
-        if req.sent_at <= evacuated_at + EVACUATION_S or not self.is_healthy("store", req.sent_at):
+        name = data_centre(received.host or " ")
+        evacuated_at = self.evacuated.get(name, float("inf"))
+        store_excuses = name not in self.in_force and not self.is_healthy("store", req.sent_at)
+        if req.sent_at <= evacuated_at + EVACUATION_S or store_excuses:
             return
         hosts = {req.host, received.host}
         if any(self.is_healthy(host, req.sent_at) for host in hosts):
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -413,7 +413,11 @@
             return
         self.store.evacuate(name)
         self.checker.evacuated[name] = self.checker.now()
-        await asyncio.sleep(EVACUATION_S + seconds)
+        await asyncio.sleep(EVACUATION_S)
+        if self.checker.is_healthy("store", self.checker.now()):
+            self.checker.in_force.add(name)
+        await asyncio.sleep(seconds)
+        self.checker.in_force.discard(name)
         del self.checker.evacuated[name]
         at = self.checker.now()
         for target in self.targets.values():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -175,6 +175,16 @@
         checker.check_received(received_request(sent_at + 0.1)._replace(host="h1"))
         self.assertEqual(findings, len(checker.findings), checker.findings)
 
+    def test_a_store_fault_after_it_is_in_force(self):
+        checker = Checker(40, 40)
+        checker.key_owners["k"] = "mart"
+        checker.evacuated["dc1"] = 100.0
+        checker.in_force.add("dc1")
+        checker.faulty_until["store"] = 108.0
+        checker.record_sent(sent_request(sent_at=107.0))
+        checker.check_received(received_request(107.1)._replace(host="h1"))
+        self.assertEqual(1, len(checker.findings))
+
     def test_no_evacuation(self):
         checker = Checker(40, 40)
         checker.key_owners["k"] = "mart"
