--- a/harness/mutants.py
+++ b/harness/mutants.py
@@ -746,7 +746,7 @@
     Mutant(
         "mesh: a process that has just started trusts no restored store",
         "mesh/follow.py",
-        '        if source == "store" and not self._era.confirms:\n',
+        '        if source == "store" and not self._era.confirms_at(confirmed_at):\n',
         "        if False:\n",
         "tests/test_mesh_evacuation.py::RestoredStoreTest",
     ),
