--- a/beryldrum/mesh/admission.py
+++ b/beryldrum/mesh/admission.py
@@ -197,7 +197,7 @@
             arrivals.set_share(max(MIN_KIND_SHARE, arrivals.admitted_share() * correction))
             arrivals.decay()
 
-    def least_admitted(self, services: Iterable[str], called: Collection[str] = ()) -> float:
+    def min_admitted_share(self, services: Iterable[str], called: Collection[str] = ()) -> float:
         """Return the least share admitted recently by any service that a request reaches."""
         reached = [self._services.get(name) for name in services]
         reached += [self._trees.get(name) for name in called]
--- a/beryldrum/mesh/checks.py
+++ b/beryldrum/mesh/checks.py
@@ -138,7 +138,7 @@
             return pending
         if all(self._admission.has_target(name) for name in services):
             shortage = Shortage(
-                self._admission.least_admitted(services, called), self._run_s(route)
+                self._admission.min_admitted_share(services, called), self._run_s(route)
             )
             delay_ms = self._returns.delay_ms(route, pending.priority, left_ms, shortage)
             return Refusal(request.SHED, delay_ms)
--- a/beryldrum/mesh/load_balancer.py
+++ b/beryldrum/mesh/load_balancer.py
@@ -100,8 +100,8 @@
         if len(local) == len(untried):
             return self._draw(local, route)[0]
         if not local:
-            roomy = self._less_used([p for p in peers if p.member.address in tried], untried)
-            return self._leave(roomy, route, NO_LOCAL) if roomy else None
+            candidates = self._less_used([p for p in peers if p.member.address in tried], untried)
+            return self._leave(candidates, route, NO_LOCAL) if candidates else None
         remote = [p for p in untried if p.member.data_centre != self._data_centre]
         service = remote[0].load.service
         # A retry has fewer candidates, from which no share can be computed.
@@ -109,14 +109,14 @@
         share = self._shares.leave_share(service, regions, route, local, remote, complete)
         if overloaded := self._shares.overloaded(service, regions):
             remote = [p for p in remote if p.member.data_centre not in overloaded]
-        if share and self._rng.random() < share and (roomy := _below(remote, ROOM_USE)):
-            return self._leave(roomy, route, SHARE)
+        if share and self._rng.random() < share and (candidates := _below(remote, ROOM_USE)):
+            return self._leave(candidates, route, SHARE)
         best, cost_s = self._draw(local, route)
         # What a wait is worth grows with the bytes, so that large requests stay for longer.
         wait_use = self._shares.price_s(route) / (WAIT_PER_USE * cost_s)
         full_use = min(FULL_USE, FULL_MIN_USE + wait_use)
-        if best.utilisation() >= full_use and (roomy := _below(local, full_use)):
-            best, cost_s = self._draw(roomy, route)
+        if best.utilisation() >= full_use and (candidates := _below(local, full_use)):
+            best, cost_s = self._draw(candidates, route)
         full = best.utilisation() >= full_use
         if remote and (full or cost_s >= limit_s * LOCAL_MAX_TIME_SHARE):
             other, other_cost_s = self._draw(_below(remote, ROOM_USE) or remote, route)
--- a/beryldrum/mesh/summaries.py
+++ b/beryldrum/mesh/summaries.py
@@ -135,7 +135,7 @@
         )
 
     def expire_cache(self) -> None:
-        """Make the next summary anew, since this node has learnt what others need soon."""
+        """Do not send the cached summary again: this node has learnt what others need soon."""
         self._cached_at = float("-inf")
 
     def _apply(self, summary: Summary, made_at: float) -> None:
--- a/beryldrum/mesh/zone_share.py
+++ b/beryldrum/mesh/zone_share.py
@@ -64,7 +64,7 @@
 """Time constant of the average of a data centre's use."""
 
 UPDATE_S = 0.1
-"""Period at which the share of a service is computed anew."""
+"""Period at which the share of a service is recomputed."""
 
 MAX_STEP_S = 1.0
 """Time since the last update of a share that counts at most, for a rarely used service."""
--- a/tests/test_mesh_returns.py
+++ b/tests/test_mesh_returns.py
@@ -131,7 +131,7 @@
         if returns.is_returning(req.route, int(left_s * 1000)):
             priority = preferred(priority)
         if not admission.admits(priority, ("s",)):
-            shortage = Shortage(admission.least_admitted(("s",)), CALLERS[req.kind].run_s)
+            shortage = Shortage(admission.min_admitted_share(("s",)), CALLERS[req.kind].run_s)
             delay_ms = returns.delay_ms(req.route, priority, int(left_s * 1000), shortage)
             return self._refuse(req, delay_ms)
         gate = min(self.rng.sample(self.gates, 2), key=lambda gate: gate.load("s").busy)
