--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -282,15 +282,16 @@
             "born": self.born,
         }
         path = f"/rpc?call=instances.heartbeat&of={self.id}"
-        return await self._post(control, path, json.dumps(body).encode())
+        return await self.post(control, path, json.dumps(body).encode())
 
     async def deregister(self, control):
         """Say that it leaves and return the status of the answer."""
         path = f"/rpc?call=instances.deregister&of={self.id}"
-        return await self._post(control, path, json.dumps({"born": self.born}).encode())
+        return await self.post(control, path, json.dumps({"born": self.born}).encode())
 
     @staticmethod
-    async def _post(control, path, body):
+    async def post(control, path, body):
+        """Send a message to a node and return the status of its answer, 0 without one."""
         head = {"Host": control, "Content-Type": "application/json"}
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(1.0):
@@ -447,6 +448,10 @@
         self.start_node()
         self._beats = asyncio.create_task(self.endpoint.keep_beating(self.control))
 
+    def stop_beats(self):
+        """Make the endpoint send no more check-ins."""
+        self._beats.cancel()
+
     def signal(self, number):
         """Send a signal to the node."""
         self.process.send_signal(number)
